--- /dev/null
+++ b/crates/cli/src/cmd/agent.rs
@@ -0,0 +1,39 @@
+//! `parsleyspool agent`.
+
+use super::signal::stop_asked;
+use crate::error::CommandError;
+use clap::Args;
+use error_stack::{Report, ResultExt};
+use parsleyspool_daemon::agent;
+use parsleyspool_daemon::clock::SystemClock;
+use parsleyspool_daemon::settings::{ProcessSettings, load};
+use parsleyspool_daemon::telemetry::logging::LogControl;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+/// Arguments of `agent`.
+#[derive(Debug, Args)]
+pub struct AgentArgs {
+    /// Settings file with the key `agent` at its top.
+    #[arg(long)]
+    settings: PathBuf,
+}
+
+impl AgentArgs {
+    /// Serves until SIGTERM or SIGINT, then finishes the tasks in progress.
+    pub async fn run(self) -> Result<(), Report<CommandError>> {
+        let settings = load(&self.settings).change_context(CommandError::Input)?;
+        let ProcessSettings::Agent(settings) = settings else {
+            return Err(Report::new(CommandError::Input).attach("the file is for an entry"));
+        };
+        let control = LogControl::install(&settings.telemetry.filter);
+        let control = control.change_context(CommandError::Input)?;
+        let clock = Arc::new(SystemClock::new());
+        let agent = agent::start(*settings, control, clock).await;
+        let agent = agent.change_context(CommandError::Daemon)?.run();
+        tracing::info!(event = "listening", peers = %agent.parts.address());
+        stop_asked().await;
+        let unfinished = agent.begin_drain().await.finish().await.state.unfinished;
+        super::ended(unfinished)
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cmd/entry.rs
@@ -0,0 +1,43 @@
+//! `parsleyspool entry`.
+
+use super::signal::stop_asked;
+use crate::error::CommandError;
+use clap::Args;
+use error_stack::{Report, ResultExt};
+use parsleyspool_daemon::clock::SystemClock;
+use parsleyspool_daemon::entry;
+use parsleyspool_daemon::settings::{ProcessSettings, load};
+use parsleyspool_daemon::telemetry::logging::LogControl;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+/// Arguments of `entry`.
+#[derive(Debug, Args)]
+pub struct EntryArgs {
+    /// Settings file with the key `entry` at its top.
+    #[arg(long)]
+    settings: PathBuf,
+}
+
+impl EntryArgs {
+    /// Serves until SIGTERM or SIGINT, then finishes the jobs in progress.
+    pub async fn run(self) -> Result<(), Report<CommandError>> {
+        let settings = load(&self.settings).change_context(CommandError::Input)?;
+        let ProcessSettings::Entry(settings) = settings else {
+            return Err(Report::new(CommandError::Input).attach("the file is for an agent"));
+        };
+        let control = LogControl::install(&settings.telemetry.filter);
+        let control = control.change_context(CommandError::Input)?;
+        let clock = Arc::new(SystemClock::new());
+        let entry = entry::start(*settings, control, clock).await;
+        let entry = entry.change_context(CommandError::Daemon)?.run();
+        tracing::info!(
+            event = "listening",
+            callers = %entry.parts.caller_address(),
+            peers = %entry.parts.peer_address()
+        );
+        stop_asked().await;
+        let unfinished = entry.begin_drain().await.finish().await.state.unfinished;
+        super::ended(unfinished)
+    }
+}
--- /dev/null
+++ b/crates/core/src/config.rs
@@ -0,0 +1,125 @@
+//! Configuration in force, folded from the log.
+//!
+//! Every process that needs the configuration folds the same records in the order of their offsets,
+//! so all reach the same state. A change names the version of its subject that the operator saw;
+//! where another change came first, every reader rejects the later one, and its operator is told.
+//!
+//! Records expire, so any entry republishes the state as a [`ConfigSnapshot`] before they do. A
+//! snapshot states the offset that it was folded through. A reader takes it only where it is ahead
+//! of what the reader holds, and then applies every change from that offset on, whether the change
+//! stands before or after the snapshot in the log. A republished state therefore never undoes a
+//! change that raced with it.
+
+mod change;
+mod ledger;
+mod republish;
+
+pub use change::{ChangeRecord, ConfigChange, ConfigSubject};
+pub use ledger::{ApplyOutcome, ConfigLedger, ConfigRecord, ConfigSnapshot};
+pub use republish::SnapshotSchedule;
+
+use crate::id::{DomainName, EntryName, RequestName, ServerName, ServiceName, TeamName, Version};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// What a service declares of one kind of request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestRule {
+    /// Whether a second run has no further effect.
+    pub idempotent: bool,
+    /// Declared run time on a backend server of speed 1.
+    pub run_time: Duration,
+    /// Slots that one task takes, at least 1.
+    pub slots: u32,
+}
+
+/// Service of one team.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceSpec {
+    /// Team that owns the service.
+    pub team: TeamName,
+    /// Time for an answer where the caller states none.
+    pub deadline: Duration,
+    /// Kinds of request.
+    pub requests: BTreeMap<RequestName, RequestRule>,
+}
+
+/// Limits of one team, over all entries.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TeamQuota {
+    /// Most tasks accepted and not yet answered.
+    pub tasks_in_flight: u32,
+    /// Weight of the team where several wait for the same slots, at least 1.
+    pub weight: u32,
+}
+
+/// Whether operators let a failure domain take work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DomainOrder {
+    /// It takes work.
+    InService,
+    /// It starts nothing.
+    OutOfService,
+}
+
+/// Configuration at one version.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Configuration {
+    /// Records folded so far.
+    pub version: Version,
+    /// Services by name.
+    pub services: BTreeMap<ServiceName, ServiceSpec>,
+    /// Quotas by team.
+    pub quotas: BTreeMap<TeamName, TeamQuota>,
+    /// Failure domains that operators named.
+    pub domains: BTreeMap<DomainName, DomainOrder>,
+    /// Backend servers that operators told to leave.
+    pub leaving: BTreeSet<ServerName>,
+    /// Entries that vote on what is in force during an outage of the log.
+    pub electorate: BTreeSet<EntryName>,
+    /// Version at which each subject last changed.
+    pub subjects: BTreeMap<ConfigSubject, Version>,
+}
+
+impl Configuration {
+    /// Whether `domain` takes work; a domain that no operator named does.
+    pub fn is_in_service(&self, domain: &str) -> bool {
+        self.domains.get(domain) != Some(&DomainOrder::OutOfService)
+    }
+
+    /// Whether operators told `server` to leave.
+    pub fn is_leaving(&self, server: &str) -> bool {
+        self.leaving.contains(server)
+    }
+
+    /// Version at which `subject` last changed, 0 where it never did.
+    pub fn subject_version(&self, subject: &ConfigSubject) -> Version {
+        self.subjects.get(subject).copied().unwrap_or(0)
+    }
+
+    fn put(&mut self, change: ConfigChange) {
+        match change {
+            ConfigChange::PutService { name, spec } => {
+                self.services.insert(name, spec);
+            }
+            ConfigChange::RemoveService { name } => {
+                self.services.remove(&name);
+            }
+            ConfigChange::SetQuota { team, quota } => {
+                self.quotas.insert(team, quota);
+            }
+            ConfigChange::OrderDomain { domain, order } => {
+                self.domains.insert(domain, order);
+            }
+            ConfigChange::LeaveServer { server } => {
+                self.leaving.insert(server);
+            }
+            ConfigChange::RejoinServer { server } => {
+                self.leaving.remove(&server);
+            }
+            ConfigChange::SetElectorate { entries } => {
+                self.electorate = entries;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/directory/server.rs
@@ -0,0 +1,270 @@
+//! One backend server as an entry knows it.
+
+use super::pace::{LEAST_PACE, LearntMean, MOST_PACE};
+use crate::entry::LoadReport;
+use crate::id::{
+    DomainName, Incarnation, PeerAddress, ServerName, ServiceName, Version, WorkerName,
+};
+use crate::lifecycle::{LifecycleCharts, ServerEvent, ServerState};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// What an agent reports of its backend server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServerReport {
+    /// Name of the backend server.
+    pub name: ServerName,
+    /// Incarnation of the agent.
+    pub incarnation: Incarnation,
+    /// Number of the report within the incarnation.
+    pub sequence: u64,
+    /// Where the agent takes starts.
+    pub address: PeerAddress,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Worker that it runs on.
+    pub worker: WorkerName,
+    /// Services that it offers.
+    pub services: Vec<ServiceName>,
+    /// Tasks that it runs at once.
+    pub slots: u32,
+    /// Slots running and queued there, from all entries.
+    pub load: u32,
+    /// Of these, slots of the entry that is told.
+    pub own: u32,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+    /// Clock of the agent when it sent the report.
+    pub clock: Duration,
+    /// Configuration version that the agent knows.
+    pub version: Version,
+}
+
+/// When a server is distrusted and trusted again.
+#[derive(Debug, Clone)]
+pub struct TrustPolicy {
+    /// Share of failures above which a server is set aside.
+    pub failure_share: f64,
+    /// Results before which nothing is judged.
+    pub least_results: u32,
+    /// First time aside; it doubles with each failed probe.
+    pub first_rest: Duration,
+    /// Longest time aside.
+    pub longest_rest: Duration,
+}
+
+impl Default for TrustPolicy {
+    fn default() -> Self {
+        Self {
+            failure_share: 0.5,
+            least_results: 5,
+            first_rest: Duration::from_secs(2),
+            longest_rest: Duration::from_secs(60),
+        }
+    }
+}
+
+/// Incarnations remembered as gone.
+const RETIRED_KEPT: usize = 4;
+
+/// One backend server.
+#[derive(Debug)]
+pub struct ServerRecord {
+    report: ServerReport,
+    heard: Duration,
+    state: ServerState,
+    own: u32,
+    retired: VecDeque<Incarnation>,
+    failures: LearntMean,
+    results: u32,
+    pace: LearntMean,
+    mean_run_time: LearntMean,
+    rest: Duration,
+    rest_until: Duration,
+}
+
+impl ServerRecord {
+    /// Server first heard of at `now`.
+    pub fn new(report: ServerReport, now: Duration) -> Self {
+        let mut server = Self {
+            report,
+            heard: now,
+            state: LifecycleCharts::shared().server.initial(),
+            own: 0,
+            retired: VecDeque::new(),
+            failures: LearntMean::new(0.0),
+            results: 0,
+            pace: LearntMean::new(1.0),
+            mean_run_time: LearntMean::new(0.0),
+            rest: Duration::ZERO,
+            rest_until: Duration::ZERO,
+        };
+        server.follow_report();
+        server
+    }
+
+    /// The same server, with the incarnations that it had before.
+    pub fn with_retired(self, retired: VecDeque<Incarnation>) -> Self {
+        Self { retired, ..self }
+    }
+
+    /// Incarnations gone once this one is replaced.
+    pub fn retire(&self) -> VecDeque<Incarnation> {
+        let mut retired = self.retired.clone();
+        retired.push_back(self.report.incarnation);
+        while retired.len() > RETIRED_KEPT {
+            retired.pop_front();
+        }
+        retired
+    }
+
+    /// Whether `incarnation` was replaced by the present one.
+    pub fn has_retired(&self, incarnation: Incarnation) -> bool {
+        self.retired.contains(&incarnation)
+    }
+
+    /// Takes a later report of the same incarnation.
+    pub fn refresh(&mut self, report: ServerReport, now: Duration) {
+        self.report = report;
+        self.heard = now;
+        self.follow_report();
+    }
+
+    /// Takes the load that came with an answer.
+    pub fn note_load(&mut self, load: LoadReport) {
+        self.report.load = load.load;
+        self.report.own = load.own;
+    }
+
+    fn follow_report(&mut self) {
+        let event = if self.report.is_leaving { ServerEvent::Leave } else { ServerEvent::Serve };
+        self.advance(event);
+    }
+
+    /// Follows the chart; `false` where the present state does not take `event`.
+    pub fn advance(&mut self, event: ServerEvent) -> bool {
+        match LifecycleCharts::shared().server.next(self.state, event) {
+            Ok(state) => {
+                self.state = state;
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Name of the server.
+    pub fn name(&self) -> &ServerName {
+        &self.report.name
+    }
+
+    /// Incarnation of the agent.
+    pub fn incarnation(&self) -> Incarnation {
+        self.report.incarnation
+    }
+
+    /// Number of the latest report.
+    pub fn sequence(&self) -> u64 {
+        self.report.sequence
+    }
+
+    /// Latest report.
+    pub fn latest(&self) -> &ServerReport {
+        &self.report
+    }
+
+    /// Failure domain.
+    pub fn domain(&self) -> &DomainName {
+        &self.report.domain
+    }
+
+    /// Services offered.
+    pub fn services(&self) -> &[ServiceName] {
+        &self.report.services
+    }
+
+    /// Time of the latest heartbeat.
+    pub fn heard(&self) -> Duration {
+        self.heard
+    }
+
+    /// State as the chart has it.
+    pub fn state(&self) -> ServerState {
+        self.state
+    }
+
+    /// Slots of own tasks there.
+    pub fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Load by the latest report and the own tasks sent since.
+    pub fn load(&self) -> u32 {
+        let others = self.report.load.saturating_sub(self.report.own);
+        others + self.own
+    }
+
+    /// Ratio of the run times here to the run times of all servers.
+    pub fn pace(&self) -> f64 {
+        self.pace.value().clamp(LEAST_PACE, MOST_PACE)
+    }
+
+    /// Mean run time of the tasks here, zero before the first.
+    pub fn mean_run_time(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_run_time.value().max(0.0))
+    }
+
+    /// Time on the clock of the agent that is surely not later than `at` on the own clock.
+    pub fn agent_time(&self, at: Duration) -> Duration {
+        let ahead = at.saturating_sub(self.heard);
+        let behind = self.heard.saturating_sub(at);
+        (self.report.clock + ahead).saturating_sub(behind)
+    }
+
+    /// Counts the slots of an own task sent.
+    pub fn send(&mut self, slots: u32) {
+        self.own += slots;
+    }
+
+    /// Counts the slots of an own task that ended or did not start.
+    pub fn settle(&mut self, slots: u32) {
+        self.own = self.own.saturating_sub(slots);
+    }
+
+    /// Learns from a task that ran to its answer.
+    pub fn succeed(&mut self, pace_sample: f64, run_time: Duration) {
+        self.pace.learn(pace_sample.clamp(LEAST_PACE, MOST_PACE));
+        if self.mean_run_time.value() == 0.0 {
+            self.mean_run_time = LearntMean::new(run_time.as_secs_f64());
+        }
+        self.mean_run_time.learn(run_time.as_secs_f64());
+        self.results = self.results.saturating_add(1);
+        self.failures.learn(0.0);
+        if self.advance(ServerEvent::Trust) {
+            self.failures = LearntMean::new(0.0);
+            self.results = 0;
+            self.rest = Duration::ZERO;
+        }
+    }
+
+    /// Learns from a task that the server failed; returns whether the server is now set aside.
+    pub fn fail(&mut self, trust: &TrustPolicy, now: Duration) -> bool {
+        self.results = self.results.saturating_add(1);
+        self.failures.learn(1.0);
+        let is_probe = self.state == ServerState::Probing;
+        let is_bad =
+            self.results >= trust.least_results && self.failures.value() > trust.failure_share;
+        if !(is_probe || is_bad) || !self.advance(ServerEvent::Distrust) {
+            return false;
+        }
+        self.rest = (self.rest * 2).clamp(trust.first_rest, trust.longest_rest);
+        self.rest_until = now + self.rest;
+        true
+    }
+
+    /// Lets a probe in once the time aside is over.
+    pub fn end_quarantine(&mut self, now: Duration) {
+        if self.state == ServerState::Quarantined && now >= self.rest_until {
+            self.advance(ServerEvent::Probe);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/admit.rs
@@ -0,0 +1,395 @@
+//! Admission: which jobs an entry takes.
+
+use super::{AccountSubject, EntryAction, EntryMachine, EntryPhase};
+use crate::claim::{ClaimKey, ClaimStep, claim_key};
+use crate::config::{Configuration, ServiceSpec};
+use crate::error::{ErrorKind, JobError, RefusalFigures};
+use crate::id::{SubmissionId, submission_id};
+use crate::job::{HeldJob, JobAnswer, JobRequest};
+use crate::lifecycle::{JobEvent, ServerState};
+use crate::time::Moment;
+use crate::timeline::{EventKind, TimelineEvent};
+use std::time::Duration;
+
+/// What to do with a job that arrived.
+enum Admission {
+    /// Queue its tasks.
+    Admit,
+    /// Claim its key first.
+    Claim(ClaimKey),
+    /// Let it wait for the answer of the submission that runs it.
+    Join(SubmissionId),
+    /// Give the answer that its earlier submission got.
+    Repeat(ClaimKey),
+    /// Refuse it.
+    Refuse(JobError),
+}
+
+/// Lead of a caller's clock that is let pass.
+const CLOCK_LEAD: Duration = Duration::from_secs(5);
+
+impl EntryMachine {
+    pub(super) fn submit(&mut self, ticket: u64, request: JobRequest, now: Moment) {
+        let id = self.next_id();
+        match self.judge(&request, now) {
+            Admission::Admit => self.hold(id, ticket, request, None, now),
+            Admission::Claim(key) => self.hold(id, ticket, request, Some(key), now),
+            Admission::Join(other) => self.join(ticket, other),
+            Admission::Repeat(key) => self.repeat(ticket, key),
+            Admission::Refuse(error) => self.refuse(id, ticket, &request, error, now),
+        }
+    }
+
+    pub(super) fn refuse_malformed(&mut self, ticket: u64, error: JobError, now: Moment) {
+        let id = self.next_id();
+        let empty = AccountSubject {
+            submission: id,
+            job: "".into(),
+            team: "".into(),
+            service: "".into(),
+            tasks: 0,
+        };
+        self.answer_refusal(ticket, empty, error, now);
+    }
+
+    fn next_id(&mut self) -> SubmissionId {
+        self.next_submission += 1;
+        submission_id(self.identity.incarnation, self.next_submission)
+    }
+
+    fn judge(&mut self, request: &JobRequest, now: Moment) -> Admission {
+        let checks = [
+            Self::check_phase,
+            Self::check_freshness,
+            Self::check_shape,
+            Self::check_servers,
+            Self::check_fit,
+        ];
+        for check in checks {
+            if let Err(error) = check(self, request, now) {
+                return Admission::Refuse(error);
+            }
+        }
+        let key = match self.claim_for(request, now) {
+            Ok(key) => key,
+            Err(error) => return Admission::Refuse(error),
+        };
+        if let Some(known) = key.and_then(|key| self.find_claimed(key)) {
+            return known;
+        }
+        let checks = [Self::check_room, Self::check_quota, Self::check_deadline];
+        for check in checks {
+            if let Err(error) = check(self, request, now) {
+                return Admission::Refuse(error);
+            }
+        }
+        key.map_or(Admission::Admit, Admission::Claim)
+    }
+
+    fn check_phase(&self, _request: &JobRequest, _now: Moment) -> Result<(), JobError> {
+        match self.phase {
+            EntryPhase::Serving => Ok(()),
+            EntryPhase::Draining => Err(JobError::plain(ErrorKind::Draining)),
+        }
+    }
+
+    fn check_freshness(&self, _request: &JobRequest, now: Moment) -> Result<(), JobError> {
+        if self.is_fresh(now) {
+            return Ok(());
+        }
+        let lease = millis(self.limits.lease);
+        let figures = RefusalFigures::new("lease_ms", lease, 0);
+        Err(JobError::new(ErrorKind::ConfigurationStale, figures))
+    }
+
+    fn check_shape(&self, request: &JobRequest, _now: Moment) -> Result<(), JobError> {
+        let configuration = self.ledger.configuration();
+        let spec = find_spec(configuration, request)?;
+        let count = request.tasks.len();
+        if count == 0 {
+            let figures = RefusalFigures::new("least_tasks", 1, 0);
+            return Err(JobError::new(ErrorKind::InvalidRequest, figures));
+        }
+        if count > self.limits.tasks_per_job {
+            let allowed = self.limits.tasks_per_job as u64;
+            let figures = RefusalFigures::new("tasks_per_job", allowed, count as u64);
+            return Err(JobError::new(ErrorKind::JobTooLarge, figures));
+        }
+        let is_known = |name| spec.requests.contains_key(name);
+        if !request.tasks.iter().all(|task| is_known(&task.request)) {
+            return Err(JobError::plain(ErrorKind::UnknownRequest));
+        }
+        let deadline = request.deadline.unwrap_or(spec.deadline);
+        if deadline > self.limits.longest_deadline {
+            let allowed = millis(self.limits.longest_deadline);
+            let figures = RefusalFigures::new("longest_deadline_ms", allowed, millis(deadline));
+            return Err(JobError::new(ErrorKind::InvalidRequest, figures));
+        }
+        Ok(())
+    }
+
+    fn check_servers(&self, request: &JobRequest, _now: Moment) -> Result<(), JobError> {
+        let configuration = self.ledger.configuration();
+        let offering = self.directory.offering(&request.service);
+        let may_serve = |&index: &usize| {
+            let Some(server) = self.directory.get(index) else { return false };
+            let is_present = !matches!(
+                server.state(),
+                ServerState::Silent | ServerState::Leaving | ServerState::Gone
+            );
+            is_present
+                && configuration.is_in_service(server.domain())
+                && !configuration.is_leaving(server.name())
+        };
+        if offering.iter().any(may_serve) {
+            return Ok(());
+        }
+        let figures = RefusalFigures::new("servers_in_service", 1, 0);
+        Err(JobError::new(ErrorKind::NoServerInService, figures))
+    }
+
+    fn check_fit(&self, request: &JobRequest, _now: Moment) -> Result<(), JobError> {
+        let spec = find_spec(self.ledger.configuration(), request)?;
+        let offering = self.directory.offering(&request.service).iter();
+        let servers = offering.filter_map(|&index| self.directory.get(index));
+        let most = servers.map(|server| server.latest().slots).max().unwrap_or(0);
+        let rules = request.tasks.iter().filter_map(|task| spec.requests.get(&task.request));
+        let needed = rules.map(|rule| rule.slots).max().unwrap_or(1);
+        if needed <= most {
+            return Ok(());
+        }
+        let figures = RefusalFigures::new("slots_per_server", most.into(), needed.into());
+        Err(JobError::new(ErrorKind::CannotRun, figures))
+    }
+
+    fn check_room(&self, request: &JobRequest, _now: Moment) -> Result<(), JobError> {
+        let held = self.held_tasks + request.tasks.len();
+        if held <= self.limits.tasks_held {
+            return Ok(());
+        }
+        let allowed = self.limits.tasks_held as u64;
+        let figures = RefusalFigures::new("tasks_held", allowed, held as u64);
+        Err(JobError::new(ErrorKind::Overloaded, figures))
+    }
+
+    fn check_quota(&self, request: &JobRequest, _now: Moment) -> Result<(), JobError> {
+        let Some(quota) = self.ledger.configuration().quotas.get(&request.team) else {
+            return Ok(());
+        };
+        let here = self.team_open.get(&request.team).copied().unwrap_or(0);
+        let asked = here.saturating_add(u32::try_from(request.tasks.len()).unwrap_or(u32::MAX));
+        let elsewhere: u32 =
+            self.peer_load.values().filter_map(|teams| teams.get(&request.team)).sum();
+        let entries = u32::try_from(self.peer_load.len()).unwrap_or(u32::MAX).saturating_add(1);
+        let share = quota.tasks_in_flight / entries;
+        let allowed = share.max(quota.tasks_in_flight.saturating_sub(elsewhere));
+        if asked <= allowed {
+            return Ok(());
+        }
+        let figures = RefusalFigures::new("tasks_in_flight", allowed.into(), asked.into());
+        Err(JobError::new(ErrorKind::QuotaExceeded, figures))
+    }
+
+    /// Refuses a job whose tasks would not finish before its deadline even if all goes well.
+    fn check_deadline(&self, request: &JobRequest, _now: Moment) -> Result<(), JobError> {
+        let spec = find_spec(self.ledger.configuration(), request)?;
+        let deadline = request.deadline.unwrap_or(spec.deadline);
+        let needed = self.expected_time(request, spec);
+        if needed <= deadline {
+            return Ok(());
+        }
+        let figures = RefusalFigures::new("deadline_ms", millis(deadline), millis(needed));
+        Err(JobError::new(ErrorKind::DeadlineUnreachable, figures))
+    }
+
+    /// Time until the last task of `request` would finish, by what is learnt.
+    fn expected_time(&self, request: &JobRequest, spec: &ServiceSpec) -> Duration {
+        let mut work = Duration::ZERO;
+        let mut longest = Duration::ZERO;
+        for task in &request.tasks {
+            let Some(rule) = spec.requests.get(&task.request) else { continue };
+            let time = self.run_times.expected(&request.service, &task.request, rule.run_time);
+            work += time * rule.slots.max(1);
+            longest = longest.max(time);
+        }
+        let capacity = self.capacity(&request.service);
+        let count = u32::try_from(request.tasks.len()).unwrap_or(u32::MAX).max(1);
+        let waiting = u32::try_from(self.queue.service_len(&request.service)).unwrap_or(u32::MAX);
+        let mean = work / count;
+        let ahead = mean.saturating_mul(waiting.saturating_add(capacity.busy));
+        let rate = capacity.speed.max(f64::MIN_POSITIVE);
+        let drain = (ahead + work).as_secs_f64() / rate - mean.as_secs_f64();
+        let finish = Duration::try_from_secs_f64(drain.max(0.0)).unwrap_or(Duration::MAX);
+        longest.max(finish)
+    }
+
+    /// Speed and load of a sample of the servers of `service`, scaled to all of them.
+    fn capacity(&self, service: &str) -> ServiceCapacity {
+        let offering = self.directory.offering(service);
+        let step = offering.len().div_ceil(self.limits.directory.sample.max(1)).max(1);
+        let mut capacity = ServiceCapacity { speed: 0.0, busy: 0 };
+        for &index in offering.iter().step_by(step) {
+            if !self.directory.takes_work(index, self.ledger.configuration()) {
+                continue;
+            }
+            let Some(server) = self.directory.get(index) else { continue };
+            capacity.speed += f64::from(server.latest().slots) / server.pace() * step as f64;
+            capacity.busy += server.load() * u32::try_from(step).unwrap_or(1);
+        }
+        capacity
+    }
+
+    /// Claim key that the job needs, `None` where all its requests are idempotent.
+    fn claim_for(&self, request: &JobRequest, now: Moment) -> Result<Option<ClaimKey>, JobError> {
+        let spec = find_spec(self.ledger.configuration(), request)?;
+        let is_idempotent = |name| spec.requests.get(name).is_some_and(|rule| rule.idempotent);
+        if request.tasks.iter().all(|task| is_idempotent(&task.request)) {
+            return Ok(None);
+        }
+        let Some(created) = request.created else {
+            let figures = RefusalFigures::new("created_at_required", 1, 0);
+            return Err(JobError::new(ErrorKind::InvalidRequest, figures));
+        };
+        if created > now.wall + CLOCK_LEAD {
+            let lead = millis(created - now.wall);
+            let figures = RefusalFigures::new("clock_lead_ms", millis(CLOCK_LEAD), lead);
+            return Err(JobError::new(ErrorKind::InvalidRequest, figures));
+        }
+        let age = now.wall.saturating_sub(created);
+        if age > self.limits.claim_window {
+            let allowed = millis(self.limits.claim_window);
+            let figures = RefusalFigures::new("claim_window_ms", allowed, millis(age));
+            return Err(JobError::new(ErrorKind::RequestKeyExpired, figures));
+        }
+        if !self.has_read_claims {
+            return Err(JobError::plain(ErrorKind::LogUnavailable));
+        }
+        Ok(Some(claim_key(&request.team, &request.service, &request.job, created)))
+    }
+
+    /// What to do with a key that a submission known here holds.
+    fn find_claimed(&self, key: ClaimKey) -> Option<Admission> {
+        if self.kept.contains_key(&key) {
+            return Some(Admission::Repeat(key));
+        }
+        let holder = self.claims.holder(key)?;
+        if self.jobs.contains_key(&holder) {
+            return Some(Admission::Join(holder));
+        }
+        Some(Admission::Refuse(JobError::plain(ErrorKind::AlreadyClaimed)))
+    }
+
+    fn hold(
+        &mut self,
+        id: SubmissionId,
+        ticket: u64,
+        request: JobRequest,
+        claim: Option<ClaimKey>,
+        now: Moment,
+    ) {
+        let Some(spec) = self.ledger.configuration().services.get(&request.service) else { return };
+        let mut job = HeldJob::new(id, ticket, request, spec, now.elapsed);
+        job.claim = claim;
+        self.held_tasks += job.tasks.len();
+        *self.team_open.entry(job.team.clone()).or_insert(0) += job.task_count();
+        self.tickets.insert(ticket, id);
+        self.dues.insert((job.due, id));
+        let admitted = TimelineEvent::new(EventKind::JobAdmitted).submission(id);
+        let admitted = admitted.subject(&job.service).detail(format!("tasks={}", job.tasks.len()));
+        self.note(admitted);
+        match claim {
+            None => {
+                job.advance(JobEvent::Admit);
+                self.jobs.insert(id, job);
+                self.enqueue(id, now);
+            }
+            Some(key) => {
+                job.advance(JobEvent::Claim);
+                let due = job.due.min(now.elapsed + self.limits.claim_timeout);
+                self.claim_dues.insert((due, id));
+                self.jobs.insert(id, job);
+                self.claim_outbox.push(ClaimStep::Claim { key, submission: id });
+                self.note_kind(EventKind::ClaimSent, id);
+            }
+        }
+    }
+
+    fn join(&mut self, ticket: u64, id: SubmissionId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.tickets.push(ticket);
+            self.tickets.insert(ticket, id);
+        }
+    }
+
+    fn repeat(&mut self, ticket: u64, key: ClaimKey) {
+        let version = self.version();
+        if let Some(kept) = self.kept.get(&key) {
+            self.actions.push(EntryAction::Answer {
+                ticket,
+                submission: kept.submission,
+                answer: kept.answer.clone(),
+                version,
+            });
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        id: SubmissionId,
+        ticket: u64,
+        request: &JobRequest,
+        error: JobError,
+        now: Moment,
+    ) {
+        let subject = AccountSubject {
+            submission: id,
+            job: request.job.clone(),
+            team: request.team.clone(),
+            service: request.service.clone(),
+            tasks: u32::try_from(request.tasks.len()).unwrap_or(u32::MAX),
+        };
+        self.answer_refusal(ticket, subject, error, now);
+    }
+
+    fn answer_refusal(
+        &mut self,
+        ticket: u64,
+        subject: AccountSubject,
+        error: JobError,
+        now: Moment,
+    ) {
+        let submission = subject.submission;
+        let refused = TimelineEvent::new(EventKind::JobRefused).submission(submission);
+        self.note(refused.detail(format!("kind={} not_run={}", error.kind.name(), error.not_run)));
+        self.account(subject, error.clone(), now);
+        let answer = JobAnswer::Failed(error);
+        let version = self.version();
+        self.actions.push(EntryAction::Answer { ticket, submission, answer, version });
+    }
+}
+
+/// What the servers of a service can do together.
+struct ServiceCapacity {
+    /// Slots, each weighed by the speed of its server.
+    speed: f64,
+    /// Slots taken.
+    busy: u32,
+}
+
+fn find_spec<'a>(
+    configuration: &'a Configuration,
+    request: &JobRequest,
+) -> Result<&'a ServiceSpec, JobError> {
+    let spec = configuration.services.get(&request.service);
+    if let Some(spec) = spec.filter(|spec| spec.team == request.team) {
+        return Ok(spec);
+    }
+    let is_known = configuration.quotas.contains_key(&request.team)
+        || configuration.services.values().any(|spec| spec.team == request.team);
+    let kind = if is_known { ErrorKind::UnknownService } else { ErrorKind::UnknownTeam };
+    Err(JobError::plain(kind))
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/core/src/entry/control.rs
@@ -0,0 +1,279 @@
+//! Control: configuration, claims, peers, heartbeats and the passing of time.
+
+use super::{AgentDirective, DomainLife, EntryAction, EntryMachine, EntryPhase, StreamRead};
+use crate::claim::{ClaimStep, ClaimVerdict};
+use crate::config::{ApplyOutcome, ConfigRecord, ConfigSnapshot, DomainOrder};
+use crate::directory::{ReportOutcome, ServerReport};
+use crate::error::{ErrorKind, RefusalFigures};
+use crate::freshness::{FreshnessVerdict, PeerReport};
+use crate::id::{DomainName, SubmissionId, TeamName};
+use crate::lifecycle::{DomainEvent, DomainState, JobEvent, JobState, LifecycleCharts};
+use crate::time::Moment;
+use crate::timeline::{EventKind, TimelineEvent};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+impl EntryMachine {
+    pub(super) fn take_config(&mut self, read: StreamRead<ConfigRecord>, now: Moment) {
+        let before = self.version();
+        self.ledger.note_earliest(read.earliest);
+        for (offset, record) in read.records {
+            if let ApplyOutcome::Rejected { current } = self.ledger.apply(offset, record) {
+                let detail = format!("rejected=true offset={offset} current={current}");
+                self.note(TimelineEvent::new(EventKind::ConfigApplied).detail(detail));
+            }
+        }
+        if read.is_end && self.ledger.is_whole() {
+            self.freshness.confirm(read.sent);
+        }
+        self.follow_config(before, now);
+        self.judge_freshness(now);
+    }
+
+    pub(super) fn take_peer_snapshot(&mut self, snapshot: ConfigSnapshot, now: Moment) {
+        let before = self.version();
+        self.ledger.adopt(snapshot);
+        self.follow_config(before, now);
+        self.judge_freshness(now);
+    }
+
+    fn follow_config(&mut self, before: u64, now: Moment) {
+        let version = self.version();
+        if version == before {
+            return;
+        }
+        let applied = TimelineEvent::new(EventKind::ConfigApplied);
+        self.note(applied.detail(format!("version={version}")));
+        let orders: Vec<(DomainName, DomainOrder)> = {
+            let domains = &self.ledger.configuration().domains;
+            domains.iter().map(|(name, order)| (name.clone(), *order)).collect()
+        };
+        for (domain, order) in orders {
+            self.order_domain(&domain, order, now);
+        }
+        let configuration = self.ledger.configuration();
+        self.run_times.retain(|service| configuration.services.contains_key(service));
+        self.pump_all(now);
+    }
+
+    fn order_domain(&mut self, domain: &DomainName, order: DomainOrder, now: Moment) {
+        let chart = &LifecycleCharts::shared().domain;
+        let initial = DomainLife { state: chart.initial(), since: now.elapsed };
+        let life = self.domains.entry(domain.clone()).or_insert(initial);
+        let (event, kind) = match order {
+            DomainOrder::OutOfService => (DomainEvent::TakeOut, EventKind::DomainOut),
+            DomainOrder::InService => (DomainEvent::BringBack, EventKind::DomainBack),
+        };
+        if let Ok(state) = chart.next(life.state, event) {
+            *life = DomainLife { state, since: now.elapsed };
+            self.note(TimelineEvent::new(kind).subject(domain));
+        }
+    }
+
+    /// Ends the ramp of failure domains that have been back for long enough.
+    fn end_ramps(&mut self, now: Moment) -> bool {
+        let chart = &LifecycleCharts::shared().domain;
+        let mut is_ramping = false;
+        for life in self.domains.values_mut() {
+            if life.state != DomainState::Returning {
+                continue;
+            }
+            is_ramping = true;
+            if now.elapsed.saturating_sub(life.since) < self.limits.ramp {
+                continue;
+            }
+            if let Ok(state) = chart.next(life.state, DomainEvent::Ramped) {
+                *life = DomainLife { state, since: now.elapsed };
+            }
+        }
+        is_ramping
+    }
+
+    fn judge_freshness(&mut self, now: Moment) {
+        let was_fresh = self.is_fresh(now);
+        let was_lapsed = self.verdict == FreshnessVerdict::Lapsed;
+        let configuration = self.ledger.configuration();
+        let electorate = &configuration.electorate;
+        self.verdict = self.freshness.judge(configuration.version, electorate, now.elapsed);
+        let is_lapsed = self.verdict == FreshnessVerdict::Lapsed;
+        if is_lapsed != was_lapsed {
+            let kind =
+                if is_lapsed { EventKind::FreshnessLost } else { EventKind::FreshnessRegained };
+            self.note(TimelineEvent::new(kind));
+        }
+        if !was_fresh && self.is_fresh(now) {
+            self.pump_all(now);
+        }
+    }
+
+    pub(super) fn take_claims(&mut self, read: StreamRead<Vec<ClaimStep>>, now: Moment) {
+        self.claims.note_earliest(read.earliest);
+        for (offset, steps) in read.records {
+            for verdict in self.claims.apply(offset, &steps, now.elapsed) {
+                self.follow_claim(verdict, now);
+            }
+        }
+        self.has_read_claims |= read.is_end;
+    }
+
+    fn follow_claim(&mut self, verdict: ClaimVerdict, now: Moment) {
+        let (ClaimVerdict::Won { submission } | ClaimVerdict::Lost { submission, .. }) = verdict;
+        let Some(job) = self.jobs.get_mut(&submission) else { return };
+        if job.state() != JobState::Claiming {
+            return;
+        }
+        match verdict {
+            ClaimVerdict::Won { .. } => {
+                job.advance(JobEvent::Admit);
+                self.note_kind(EventKind::ClaimWon, submission);
+                self.enqueue(submission, now);
+            }
+            ClaimVerdict::Lost { holder, .. } => self.lose_claim(submission, holder, now),
+        }
+    }
+
+    /// Hands the callers of a submission to the one that holds its claim, where that is here.
+    fn lose_claim(&mut self, submission: SubmissionId, holder: SubmissionId, now: Moment) {
+        self.note_kind(EventKind::ClaimLost, submission);
+        if let Some(key) = self.jobs.get(&submission).and_then(|job| job.claim) {
+            self.drop_claim(submission, key);
+        }
+        let Some(job) = self.jobs.get_mut(&submission) else { return };
+        job.claim = None;
+        if !self.jobs.contains_key(&holder) {
+            let figures = RefusalFigures::default();
+            self.end_failed(submission, ErrorKind::AlreadyClaimed, figures, now);
+            return;
+        }
+        let Some(job) = self.remove_job(submission) else { return };
+        for &ticket in &job.tickets {
+            self.tickets.insert(ticket, holder);
+        }
+        if let Some(other) = self.jobs.get_mut(&holder) {
+            other.tickets.extend(job.tickets);
+        }
+    }
+
+    fn drop_claim(&mut self, submission: SubmissionId, key: crate::claim::ClaimKey) {
+        let step = ClaimStep::Claim { key, submission };
+        self.claim_outbox.retain(|other| *other != step);
+    }
+
+    /// Sends the claims that wait, one append at a time.
+    pub(super) fn append_claims(&mut self) {
+        if self.claims_in_flight.is_empty() && !self.claim_outbox.is_empty() {
+            self.claims_in_flight = std::mem::take(&mut self.claim_outbox);
+            self.actions.push(EntryAction::AppendClaims(self.claims_in_flight.clone()));
+        }
+    }
+
+    /// An append that the log did not confirm may stand in it; its steps are appended again.
+    pub(super) fn end_claim_append(&mut self, is_confirmed: bool) {
+        let steps = std::mem::take(&mut self.claims_in_flight);
+        if is_confirmed {
+            return;
+        }
+        let is_wanted = |step: &ClaimStep| match step {
+            ClaimStep::Release { .. } => true,
+            ClaimStep::Claim { submission, .. } => self.jobs.contains_key(submission),
+        };
+        let again = steps.into_iter().filter(is_wanted);
+        let waiting = std::mem::take(&mut self.claim_outbox);
+        self.claim_outbox = again.chain(waiting).collect();
+    }
+
+    pub(super) fn end_account_append(&mut self, is_confirmed: bool) {
+        if is_confirmed {
+            self.book.confirm();
+        } else {
+            self.book.retry();
+        }
+    }
+
+    pub(super) fn take_peer(
+        &mut self,
+        report: PeerReport,
+        team_load: BTreeMap<TeamName, u32>,
+        asked: Duration,
+        now: Moment,
+    ) {
+        self.peer_load.insert(report.entry.clone(), team_load);
+        self.freshness.hear(report, asked);
+        self.judge_freshness(now);
+    }
+
+    pub(super) fn take_report(&mut self, report: ServerReport, now: Moment) {
+        let name = report.name.clone();
+        let (outcome, index) = self.directory.report(report, now.elapsed);
+        let kind = match outcome {
+            ReportOutcome::Announced => Some(EventKind::ServerAnnounced),
+            ReportOutcome::Replaced => Some(EventKind::ServerReplaced),
+            ReportOutcome::Known | ReportOutcome::Outdated => None,
+        };
+        if let Some(kind) = kind {
+            self.note(TimelineEvent::new(kind).subject(&name));
+        }
+        if outcome == ReportOutcome::Replaced {
+            self.lose_incarnation(index, now);
+        }
+        if outcome != ReportOutcome::Outdated {
+            self.pump_server(index, now);
+        }
+    }
+
+    /// Instruction for the agent of `server`.
+    pub fn directive(&self, server: &str, domain: &str, now: Moment) -> AgentDirective {
+        let configuration = self.ledger.configuration();
+        let until = self.verdict.until().filter(|_| self.ledger.is_whole());
+        AgentDirective {
+            version: configuration.version,
+            is_in_service: configuration.is_in_service(domain),
+            is_leaving: configuration.is_leaving(server),
+            valid_for: until.map_or(Duration::ZERO, |until| until.saturating_sub(now.elapsed)),
+            next_in: self.limits.heartbeat,
+        }
+    }
+
+    pub(super) fn tick(&mut self, now: Moment) {
+        self.judge_freshness(now);
+        self.end_unclaimed(now);
+        self.end_overdue(now);
+        self.ask_overdue(now);
+        for index in self.directory.sweep(now.elapsed) {
+            let Some(name) = self.directory.get(index).map(|server| server.name().clone()) else {
+                continue;
+            };
+            self.note(TimelineEvent::new(EventKind::ServerSilent).subject(&name));
+        }
+        self.kept.retain(|_, kept| kept.until > now.elapsed);
+        if self.end_ramps(now) || !self.queue.is_empty() {
+            self.pump_all(now);
+        }
+        self.append_accounts();
+        self.republish(now);
+    }
+
+    fn append_accounts(&mut self) {
+        if self.is_drained() {
+            self.book.close();
+        }
+        if let Some(step) = self.book.take_step() {
+            self.actions.push(EntryAction::AppendAccounts(step));
+        }
+    }
+
+    fn republish(&mut self, now: Moment) {
+        let (latest, next) = (self.ledger.latest_snapshot(), self.ledger.next_offset());
+        if !self.schedule.is_due(latest, next, now.elapsed) {
+            return;
+        }
+        if let Some(snapshot) = self.ledger.snapshot() {
+            self.actions.push(EntryAction::AppendSnapshot(snapshot));
+        }
+    }
+
+    pub(super) fn drain(&mut self) {
+        self.phase = EntryPhase::Draining;
+        self.note(TimelineEvent::new(EventKind::ProcessDraining));
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/dispatch.rs
@@ -0,0 +1,227 @@
+//! Dispatch: which task goes where, and when.
+
+use super::{EntryAction, EntryMachine, StartOrder};
+use crate::error::{ErrorKind, RefusalFigures};
+use crate::id::{SubmissionId, TaskId};
+use crate::lifecycle::{DomainState, JobState, TaskEvent, TaskState};
+use crate::placement::PlacementCandidate;
+use crate::time::Moment;
+use crate::timeline::{EventKind, TimelineEvent};
+use std::time::Duration;
+
+/// What became of an attempt to place a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PlaceOutcome {
+    /// A start leaves.
+    Sent,
+    /// No server has room now.
+    Wait,
+    /// The task no longer waits.
+    Gone,
+}
+
+/// Expected run times that pass before an outcome is asked for.
+const ASK_FACTOR: u32 = 3;
+
+impl EntryMachine {
+    /// Queues every task of an admitted job and places what can be placed.
+    pub(super) fn enqueue(&mut self, id: SubmissionId, now: Moment) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let (service, team) = (job.service.clone(), job.team.clone());
+        for index in 0..job.task_count() {
+            self.retries.earn();
+            self.queue.push(&service, &team, TaskId::new(id, index));
+        }
+        self.pump_service(&service, now);
+    }
+
+    /// Places the waiting tasks of one service until no server has room.
+    pub(super) fn pump_service(&mut self, service: &str, now: Moment) {
+        if !self.is_fresh(now) {
+            return;
+        }
+        let service: crate::id::ServiceName = service.into();
+        let services = [service];
+        while let Some(task) = self.pop(&services) {
+            if self.place(task, now) == PlaceOutcome::Wait {
+                self.put_back(task);
+                return;
+            }
+        }
+    }
+
+    /// Fills the server at `index` with waiting tasks of the services that it offers.
+    pub(super) fn pump_server(&mut self, index: usize, now: Moment) {
+        if self.queue.is_empty() || !self.is_fresh(now) {
+            return;
+        }
+        let Some(server) = self.directory.get(index) else { return };
+        let services = server.services().to_vec();
+        while self.has_room(index, 1, now) {
+            let Some(task) = self.pop(&services) else { return };
+            if self.place(task, now) == PlaceOutcome::Wait {
+                self.put_back(task);
+                return;
+            }
+        }
+    }
+
+    /// Places waiting tasks of every service.
+    pub(super) fn pump_all(&mut self, now: Moment) {
+        let indexes: Vec<usize> = self.directory.iter().map(|(index, _)| index).collect();
+        for index in indexes {
+            self.pump_server(index, now);
+        }
+    }
+
+    fn pop(&mut self, services: &[crate::id::ServiceName]) -> Option<TaskId> {
+        let quotas = &self.ledger.configuration().quotas;
+        let weight = |team: &crate::id::TeamName| quotas.get(team).map_or(1, |quota| quota.weight);
+        self.queue.pop(services, weight)
+    }
+
+    pub(super) fn put_back(&mut self, task: TaskId) {
+        let Some(job) = self.jobs.get(&task.submission) else { return };
+        let (service, team) = (job.service.clone(), job.team.clone());
+        self.queue.push_front(&service, &team, task);
+    }
+
+    fn place(&mut self, id: TaskId, now: Moment) -> PlaceOutcome {
+        let Some(job) = self.jobs.get(&id.submission) else { return PlaceOutcome::Gone };
+        let Some(task) = job.tasks.get(id.index as usize) else { return PlaceOutcome::Gone };
+        if task.state() != TaskState::Queued || job.state() != JobState::Open {
+            return PlaceOutcome::Gone;
+        }
+        let service = job.service.clone();
+        let request = task.request.request.clone();
+        let slots = task.slots;
+        let candidates = self.candidates(&service, &request, slots, now);
+        let Some(position) = self.policy.choose(&candidates, &mut self.random) else {
+            return PlaceOutcome::Wait;
+        };
+        self.send(id, candidates[position], now);
+        PlaceOutcome::Sent
+    }
+
+    fn candidates(
+        &mut self,
+        service: &str,
+        request: &str,
+        slots: u32,
+        now: Moment,
+    ) -> Vec<PlacementCandidate> {
+        let declared = self.declared(service, request);
+        let base = self.run_times.expected(service, request, declared);
+        let sample = self.directory.sample(service, &mut self.random);
+        let ready = sample.into_iter().filter(|&index| self.has_room(index, slots, now));
+        let ready = ready.filter_map(|index| {
+            let server = self.directory.get(index)?;
+            let run_time = base.mul_f64(server.pace());
+            let mean = server.mean_run_time();
+            Some(PlacementCandidate {
+                index,
+                slots: server.latest().slots,
+                load: server.load(),
+                own: server.own(),
+                run_time,
+                mean_run_time: if mean.is_zero() { run_time } else { mean },
+                is_near: *server.domain() == self.identity.domain,
+            })
+        });
+        ready.collect()
+    }
+
+    fn declared(&self, service: &str, request: &str) -> Duration {
+        let spec = self.ledger.configuration().services.get(service);
+        let rule = spec.and_then(|spec| spec.requests.get(request));
+        rule.map_or(Duration::ZERO, |rule| rule.run_time)
+    }
+
+    /// Whether the server at `index` may be sent `slots` more.
+    fn has_room(&self, index: usize, slots: u32, now: Moment) -> bool {
+        if !self.directory.takes_work(index, self.ledger.configuration()) {
+            return false;
+        }
+        let Some(server) = self.directory.get(index) else { return false };
+        let most = server.latest().slots;
+        let allowed = self.ramped(server.domain(), most, now).saturating_add(self.limits.ahead);
+        slots <= most && server.load() + slots <= allowed.max(slots)
+    }
+
+    /// Slots of a server that may be filled while its failure domain returns.
+    fn ramped(&self, domain: &str, slots: u32, now: Moment) -> u32 {
+        let Some(life) = self.domains.get(domain) else { return slots };
+        if life.state != DomainState::Returning || self.limits.ramp.is_zero() {
+            return slots;
+        }
+        let since = now.elapsed.saturating_sub(life.since);
+        let share = since.as_secs_f64() / self.limits.ramp.as_secs_f64();
+        (f64::from(slots) * share.min(1.0)).floor() as u32
+    }
+
+    fn send(&mut self, id: TaskId, candidate: PlacementCandidate, now: Moment) {
+        let Some(until) = self.verdict.until() else { return };
+        let version = self.version();
+        let Some(job) = self.jobs.get_mut(&id.submission) else { return };
+        let Some(server) = self.directory.get_mut(candidate.index) else { return };
+        let incarnation = server.incarnation();
+        let address = server.latest().address.clone();
+        let due = job.due;
+        let service = job.service.clone();
+        let task = &mut job.tasks[id.index as usize];
+        if !task.advance(TaskEvent::Send) {
+            return;
+        }
+        task.server = Some((candidate.index, incarnation));
+        task.sent = now.elapsed;
+        task.attempts += 1;
+        task.expected = candidate.run_time;
+        let wait = candidate.finish_time() * ASK_FACTOR + self.limits.ask_after;
+        let ask_at = now.elapsed + wait;
+        task.ask_at = Some(ask_at);
+        server.send(task.slots);
+        task.sent_at = server.agent_time(now.elapsed);
+        let order = StartOrder {
+            task: id,
+            attempt: task.attempts,
+            incarnation,
+            service,
+            request: task.request.request.clone(),
+            slots: task.slots,
+            payload: task.request.payload.clone(),
+            version,
+            permit_until: server.agent_time(until),
+            start_before: server.agent_time(due),
+        };
+        let sent = TimelineEvent::new(EventKind::TaskSent).submission(id.submission);
+        let sent = sent.task(id.index).subject(server.name());
+        let detail = format!("attempt={} version={version}", task.attempts);
+        self.asks.insert((ask_at, id));
+        self.note(sent.detail(detail));
+        self.actions.push(EntryAction::Start { address, order });
+    }
+
+    /// Puts a task that is proven not started back in the queue, or ends its job.
+    pub(super) fn return_task(&mut self, id: TaskId, why: &'static str, now: Moment) {
+        let attempts_allowed = self.limits.attempts;
+        let Some(job) = self.jobs.get_mut(&id.submission) else { return };
+        let task = &mut job.tasks[id.index as usize];
+        if !task.advance(TaskEvent::NotStarted) {
+            return;
+        }
+        task.server = None;
+        task.ask_at = None;
+        let attempts = task.attempts;
+        let returned = TimelineEvent::new(EventKind::TaskReturned).submission(id.submission);
+        self.note(returned.task(id.index).detail(format!("why={why} attempts={attempts}")));
+        if attempts >= attempts_allowed {
+            let figures = RefusalFigures::new("attempts", attempts_allowed.into(), attempts.into());
+            self.end_failed(id.submission, ErrorKind::Overloaded, figures, now);
+        } else if !self.retries.spend() {
+            let figures = RefusalFigures::new("retry_budget", 0, 1);
+            self.end_failed(id.submission, ErrorKind::Overloaded, figures, now);
+        } else {
+            self.put_back(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/job.rs
@@ -0,0 +1,204 @@
+//! Jobs that an entry holds.
+//!
+//! A job is answered once: whole, or with one error. Answers are kept by task index, so they may
+//! come in any order; one that comes twice, or after the job ended, finds no open task.
+
+use crate::claim::ClaimKey;
+use crate::config::ServiceSpec;
+use crate::error::{ErrorKind, JobError, RefusalFigures};
+use crate::id::{Incarnation, JobName, RequestName, ServiceName, SubmissionId, TeamName};
+use crate::lifecycle::{JobEvent, JobState, LifecycleCharts, TaskEvent, TaskState};
+use bytes::Bytes;
+use std::time::Duration;
+
+/// One task as the caller sent it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TaskRequest {
+    /// Kind of request.
+    pub request: RequestName,
+    /// Body for the backend server.
+    pub payload: Bytes,
+}
+
+/// Job as the caller sent it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobRequest {
+    /// Name that the caller gave; resubmissions share it.
+    pub job: JobName,
+    /// Team that sends it.
+    pub team: TeamName,
+    /// Service that it is for.
+    pub service: ServiceName,
+    /// Time for the answer, from its arrival.
+    pub deadline: Option<Duration>,
+    /// When the caller first created it, since the Unix epoch; needed for non-idempotent requests.
+    pub created: Option<Duration>,
+    /// Tasks, answered in this order.
+    pub tasks: Vec<TaskRequest>,
+}
+
+/// Answer to a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum JobAnswer {
+    /// Every task's answer, in the order of the tasks.
+    Complete(Vec<Bytes>),
+    /// No answer of any task.
+    Failed(JobError),
+}
+
+/// One task of a job held.
+#[derive(Debug)]
+pub struct HeldTask {
+    /// What to run.
+    pub request: TaskRequest,
+    state: TaskState,
+    /// Server that has it, with the incarnation addressed.
+    pub server: Option<(usize, Incarnation)>,
+    /// When the present start was sent.
+    pub sent: Duration,
+    /// Clock of the agent that is surely not later than the sending of the present start.
+    pub sent_at: Duration,
+    /// When to ask for its outcome over a new connection.
+    pub ask_at: Option<Duration>,
+    /// Starts sent, each but the last proven not to have started.
+    pub attempts: u32,
+    /// Slots that it takes.
+    pub slots: u32,
+    /// Run time expected where it was sent.
+    pub expected: Duration,
+    answer: Option<Bytes>,
+}
+
+impl HeldTask {
+    fn new(request: TaskRequest, spec: &ServiceSpec) -> Self {
+        let rule = spec.requests.get(&request.request);
+        Self {
+            slots: rule.map_or(1, |rule| rule.slots.max(1)),
+            expected: rule.map_or(Duration::ZERO, |rule| rule.run_time),
+            request,
+            state: LifecycleCharts::shared().task.initial(),
+            server: None,
+            sent: Duration::ZERO,
+            sent_at: Duration::ZERO,
+            ask_at: None,
+            attempts: 0,
+            answer: None,
+        }
+    }
+
+    /// State as the chart has it.
+    pub fn state(&self) -> TaskState {
+        self.state
+    }
+
+    /// Follows the chart; `false` where the present state does not take `event`.
+    pub fn advance(&mut self, event: TaskEvent) -> bool {
+        match LifecycleCharts::shared().task.next(self.state, event) {
+            Ok(state) => {
+                self.state = state;
+                true
+            }
+            Err(_) => false,
+        }
+    }
+}
+
+/// One submission held until it is answered.
+#[derive(Debug)]
+pub struct HeldJob {
+    /// Submission.
+    pub id: SubmissionId,
+    /// Where the answer goes; a resubmission of a claimed job joins.
+    pub tickets: Vec<u64>,
+    /// Job as sent, its tasks moved to [`HeldJob::tasks`].
+    pub job: JobName,
+    /// Team.
+    pub team: TeamName,
+    /// Service.
+    pub service: ServiceName,
+    /// When it arrived.
+    pub arrived: Duration,
+    /// When its answer is due.
+    pub due: Duration,
+    /// Its claim, where a request is non-idempotent.
+    pub claim: Option<ClaimKey>,
+    /// Tasks by index.
+    pub tasks: Vec<HeldTask>,
+    state: JobState,
+    answered: usize,
+}
+
+impl HeldJob {
+    /// Job that arrived at `now`.
+    pub fn new(
+        id: SubmissionId,
+        ticket: u64,
+        request: JobRequest,
+        spec: &ServiceSpec,
+        now: Duration,
+    ) -> Self {
+        let due = now + request.deadline.unwrap_or(spec.deadline);
+        Self {
+            id,
+            tickets: vec![ticket],
+            job: request.job,
+            team: request.team,
+            service: request.service,
+            arrived: now,
+            due,
+            claim: None,
+            tasks: request.tasks.into_iter().map(|task| HeldTask::new(task, spec)).collect(),
+            state: LifecycleCharts::shared().job.initial(),
+            answered: 0,
+        }
+    }
+
+    /// State as the chart has it.
+    pub fn state(&self) -> JobState {
+        self.state
+    }
+
+    /// Follows the chart; `false` where the present state does not take `event`.
+    pub fn advance(&mut self, event: JobEvent) -> bool {
+        match LifecycleCharts::shared().job.next(self.state, event) {
+            Ok(state) => {
+                self.state = state;
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Number of tasks as the wire types count them.
+    pub fn task_count(&self) -> u32 {
+        u32::try_from(self.tasks.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Number of tasks not yet answered.
+    pub fn open_tasks(&self) -> usize {
+        self.tasks.len() - self.answered
+    }
+
+    /// Stores the answer of the task at `index`; returns whether the job is whole now.
+    pub fn store(&mut self, index: usize, answer: Bytes) -> bool {
+        self.tasks[index].answer = Some(answer);
+        self.answered += 1;
+        self.answered == self.tasks.len()
+    }
+
+    /// Every answer in order; `None` while one is missing.
+    pub fn take_answers(&mut self) -> Option<Vec<Bytes>> {
+        self.tasks.iter_mut().map(|task| task.answer.take()).collect()
+    }
+
+    /// Whether every task is proven not started.
+    pub fn is_not_run(&self) -> bool {
+        self.tasks.iter().all(|task| task.server.is_none())
+    }
+
+    /// Error of `kind` with the proof that this job allows.
+    pub fn error(&self, kind: ErrorKind, figures: RefusalFigures) -> JobError {
+        let error = JobError::new(kind, figures);
+        JobError { not_run: self.is_not_run(), ..error }
+    }
+}
--- /dev/null
+++ b/crates/core/src/queue.rs
@@ -0,0 +1,99 @@
+//! Tasks that wait at an entry, shared fairly between teams.
+//!
+//! Each service has a first-in, first-out queue. Where a freed slot could serve several services,
+//! stride scheduling picks the team that has had the least service for its weight. A team that was
+//! idle starts at the present pass and gains no credit for its absence.
+
+use crate::id::{ServiceName, TaskId, TeamName};
+use std::collections::{HashMap, VecDeque};
+
+/// Pass that one task of a team with weight 1 costs.
+const STRIDE: u64 = 1 << 20;
+
+#[derive(Debug, Default)]
+struct ServiceQueue {
+    team: Option<TeamName>,
+    tasks: VecDeque<TaskId>,
+}
+
+/// Queues of all services.
+#[derive(Debug, Default)]
+pub struct TeamQueue {
+    services: HashMap<ServiceName, ServiceQueue>,
+    passes: HashMap<TeamName, u64>,
+    present: u64,
+    len: usize,
+}
+
+impl TeamQueue {
+    /// Queue without tasks.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Number of tasks that wait, tasks of ended jobs included.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether no task waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Number of tasks that wait for `service`.
+    pub fn service_len(&self, service: &str) -> usize {
+        self.services.get(service).map_or(0, |queue| queue.tasks.len())
+    }
+
+    /// Adds a task at the end.
+    pub fn push(&mut self, service: &ServiceName, team: &TeamName, task: TaskId) {
+        self.enter(service, team).tasks.push_back(task);
+    }
+
+    /// Adds a task that had its turn before at the front.
+    pub fn push_front(&mut self, service: &ServiceName, team: &TeamName, task: TaskId) {
+        self.enter(service, team).tasks.push_front(task);
+    }
+
+    fn enter(&mut self, service: &ServiceName, team: &TeamName) -> &mut ServiceQueue {
+        let pass = self.passes.entry(team.clone()).or_insert(0);
+        let queue = self.services.entry(service.clone()).or_default();
+        if queue.tasks.is_empty() {
+            *pass = (*pass).max(self.present);
+        }
+        queue.team = Some(team.clone());
+        self.len += 1;
+        queue
+    }
+
+    /// Next task for a server that offers `services`; `weight` gives the weight of a team.
+    pub fn pop(
+        &mut self,
+        services: &[ServiceName],
+        weight: impl Fn(&TeamName) -> u32,
+    ) -> Option<TaskId> {
+        let waiting = services.iter().filter_map(|name| {
+            let queue = self.services.get(name).filter(|queue| !queue.tasks.is_empty())?;
+            let team = queue.team.as_ref()?;
+            Some((self.passes.get(team).copied().unwrap_or(0), name))
+        });
+        let (pass, name) = waiting.min_by_key(|(pass, _)| *pass)?;
+        let queue = self.services.get_mut(name)?;
+        let task = queue.tasks.pop_front()?;
+        let team = queue.team.clone()?;
+        let stride = STRIDE / u64::from(weight(&team).max(1));
+        self.passes.insert(team, pass + stride);
+        self.present = pass;
+        self.len -= 1;
+        Some(task)
+    }
+
+    /// Removes the tasks for which `keep` is false; used when many jobs end together.
+    pub fn retain(&mut self, keep: impl Fn(&TaskId) -> bool) {
+        for queue in self.services.values_mut() {
+            queue.tasks.retain(&keep);
+        }
+        self.len = self.services.values().map(|queue| queue.tasks.len()).sum();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent.rs
@@ -0,0 +1,214 @@
+//! The agent daemon, beside each backend server.
+//!
+//! One actor owns the [`AgentMachine`](parsleyspool_core::agent::AgentMachine). Starts and
+//! questions come from entries over HTTP; heartbeats go to every entry known.
+
+mod actor;
+mod heartbeat;
+mod routes;
+
+pub use actor::AgentActor;
+
+use crate::backend::HttpBackend;
+use crate::edge::{BackendServer, ClockSource, EntryPeer};
+use crate::error::DaemonError;
+use crate::exchange::HttpExchange;
+use crate::http::bind;
+use crate::life::{DaemonLife, Draining, LifeWord, Serving, Starting, Stopped};
+use crate::recorder::EventRecorder;
+use crate::settings::AgentSettings;
+use crate::telemetry::logging::LogControl;
+use crate::telemetry::metrics::DaemonMetrics;
+use actor::{DrainAgent, QueryHeld};
+use error_stack::{Report, ResultExt};
+use parsleyspool_core::agent::AgentMachine;
+use parsleyspool_core::id::Incarnation;
+use parsleyspool_core::lifecycle::LifecycleCharts;
+use parsleyspool_core::timeline::{EventKind, TimelineEvent};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, oneshot};
+use tokio::task::JoinHandle;
+use xtra::{Address, Mailbox};
+
+/// What an agent stands on.
+#[derive(Debug, Clone)]
+pub struct AgentEdges {
+    /// Clock.
+    pub clock: Arc<dyn ClockSource>,
+    /// Backend server.
+    pub backend: Arc<dyn BackendServer>,
+    /// Entries.
+    pub entries: Arc<dyn EntryPeer>,
+}
+
+/// Parts of a running agent.
+#[derive(Debug)]
+pub struct AgentDaemon {
+    address: Address<AgentActor>,
+    listener: Option<TcpListener>,
+    shared: Arc<AgentShared>,
+    tasks: Vec<JoinHandle<()>>,
+    stops: Vec<oneshot::Sender<()>>,
+}
+
+/// What the tasks of an agent share.
+#[derive(Debug)]
+pub(crate) struct AgentShared {
+    pub settings: AgentSettings,
+    pub edges: AgentEdges,
+    pub recorder: Arc<EventRecorder>,
+    pub metrics: Arc<DaemonMetrics>,
+    pub control: LogControl,
+    pub word: LifeWord,
+    pub address: SocketAddr,
+    pub beat: Notify,
+}
+
+/// Mailbox of the actor, in messages.
+const MAILBOX: usize = 16_384;
+
+/// Telemetry of an agent, made before its edges.
+#[derive(Debug)]
+pub struct AgentTelemetry {
+    /// Recorder.
+    pub recorder: Arc<EventRecorder>,
+    /// Metrics.
+    pub metrics: Arc<DaemonMetrics>,
+    /// Log control.
+    pub control: LogControl,
+}
+
+/// Agent with its listener bound, over HTTP on all sides.
+///
+/// # Errors
+/// Fails where the listener cannot be bound or a client cannot be built.
+pub async fn start(
+    settings: AgentSettings,
+    control: LogControl,
+    clock: Arc<dyn ClockSource>,
+) -> Result<DaemonLife<AgentDaemon, Starting>, Report<DaemonError>> {
+    let incarnation: Incarnation = rand::random();
+    let metrics = Arc::new(DaemonMetrics::new()?);
+    let capacity = settings.telemetry.events;
+    let recorder = EventRecorder::new(capacity, incarnation, clock.clone(), metrics.clone());
+    let recorder = Arc::new(recorder);
+    let backend = &settings.backend;
+    let backend =
+        HttpBackend::new(&backend.url, backend.connections, backend.timeout, backend.answer_bytes)?;
+    let exchange = Arc::new(HttpExchange::new(recorder.clone(), metrics.clone())?);
+    let edges = AgentEdges { clock, backend: Arc::new(backend), entries: exchange };
+    let telemetry = AgentTelemetry { recorder, metrics, control };
+    start_with(settings, edges, incarnation, telemetry).await
+}
+
+/// Agent on other edges; for embedders and benches.
+///
+/// # Errors
+/// Fails where a state chart is wrong or the listener cannot be bound.
+pub async fn start_with(
+    settings: AgentSettings,
+    edges: AgentEdges,
+    incarnation: Incarnation,
+    telemetry: AgentTelemetry,
+) -> Result<DaemonLife<AgentDaemon, Starting>, Report<DaemonError>> {
+    LifecycleCharts::load().change_context(DaemonError::Charts)?;
+    let listener = bind(settings.listen).await?;
+    let word = LifeWord::starting();
+    let machine = AgentMachine::new(incarnation, settings.agent_limits());
+    let shared = Arc::new(AgentShared {
+        address: listener.local_addr().change_context(DaemonError::Bind)?,
+        settings,
+        edges,
+        recorder: telemetry.recorder,
+        metrics: telemetry.metrics,
+        control: telemetry.control,
+        word: word.clone(),
+        beat: Notify::new(),
+    });
+    shared.recorder.record(TimelineEvent::new(EventKind::ProcessStarted));
+    let actor = AgentActor::new(machine, shared.clone());
+    let address = xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX));
+    let daemon = AgentDaemon {
+        address,
+        listener: Some(listener),
+        shared,
+        tasks: Vec::new(),
+        stops: Vec::new(),
+    };
+    Ok(DaemonLife::new(daemon, word))
+}
+
+impl AgentDaemon {
+    /// Address of the listener for entries and operators.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.address
+    }
+}
+
+impl DaemonLife<AgentDaemon, Starting> {
+    /// Serves entries and operators, and sends heartbeats.
+    pub fn run(mut self) -> DaemonLife<AgentDaemon, Serving> {
+        let daemon = &mut self.parts;
+        let (address, shared) = (daemon.address.clone(), daemon.shared.clone());
+        if let Some(listener) = daemon.listener.take() {
+            let (stop, stopped) = oneshot::channel::<()>();
+            let server = warp::serve(routes::routes(address.clone(), shared.clone()));
+            let server = server.incoming(listener).graceful(async move {
+                let _ = stopped.await;
+            });
+            daemon.stops.push(stop);
+            daemon.tasks.push(tokio::spawn(server.run()));
+        }
+        daemon.tasks.push(tokio::spawn(heartbeat::beat_all(address.clone(), shared)));
+        daemon.tasks.push(tokio::spawn(actor::tick(address)));
+        self.serve()
+    }
+
+    /// Ends at once, as a crash would; for tests.
+    pub fn discard(self) {}
+}
+
+/// Time between two looks at the progress of a drain.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+impl DaemonLife<AgentDaemon, Serving> {
+    /// Begins a planned stop: new starts are refused, queued tasks go back, running ones finish.
+    pub async fn begin_drain(self) -> DaemonLife<AgentDaemon, Draining> {
+        let _ = self.parts.address.send(DrainAgent).await;
+        self.parts.shared.beat.notify_waiters();
+        self.drain()
+    }
+
+    /// Ends at once, as a crash would; for tests.
+    pub fn abort(mut self) {
+        for task in self.parts.tasks.drain(..) {
+            task.abort();
+        }
+    }
+}
+
+impl DaemonLife<AgentDaemon, Draining> {
+    /// Waits for the tasks in progress, at most as long as the settings say, and stops.
+    pub async fn finish(mut self) -> DaemonLife<AgentDaemon, Stopped> {
+        let bound = tokio::time::Instant::now() + self.parts.shared.settings.drain;
+        let unfinished = loop {
+            let left = self.parts.address.send(QueryHeld).await.unwrap_or(0);
+            if left == 0 || tokio::time::Instant::now() >= bound {
+                break left;
+            }
+            tokio::time::sleep(DRAIN_POLL).await;
+        };
+        for stop in self.parts.stops.drain(..) {
+            let _ = stop.send(());
+        }
+        tokio::time::sleep(DRAIN_POLL).await;
+        for task in self.parts.tasks.drain(..) {
+            task.abort();
+        }
+        tracing::info!(event = "process_stopped", unfinished);
+        self.stop(unfinished)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/actor.rs
@@ -0,0 +1,251 @@
+//! Actor that owns the decisions of an agent.
+
+use super::AgentShared;
+use parsleyspool_core::agent::{AgentAction, AgentEvent, AgentMachine};
+use parsleyspool_core::directory::ServerReport;
+use parsleyspool_core::entry::{AgentDirective, LoadReport, StartOrder, TaskReply};
+use parsleyspool_core::id::{EntryName, Incarnation, TaskId};
+use parsleyspool_wire::operator::StatusBody;
+use parsleyspool_wire::peer::{AskMessage, TaskReplyMessage};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use xtra::WeakAddress;
+use xtra::prelude::*;
+
+/// Time between two ticks of the decision part.
+const TICK: Duration = Duration::from_millis(100);
+
+type ReplySender = oneshot::Sender<TaskReplyMessage>;
+
+/// Actor of an agent.
+#[derive(Debug, xtra::Actor)]
+pub struct AgentActor {
+    machine: AgentMachine,
+    shared: Arc<AgentShared>,
+    waiters: HashMap<TaskId, Vec<ReplySender>>,
+    sequence: u64,
+}
+
+impl AgentActor {
+    pub(crate) fn new(machine: AgentMachine, shared: Arc<AgentShared>) -> Self {
+        Self { machine, shared, waiters: HashMap::new(), sequence: 0 }
+    }
+
+    fn decide(
+        &mut self,
+        event: AgentEvent,
+        mut sender: Option<ReplySender>,
+        address: &WeakAddress<Self>,
+    ) {
+        let now = self.shared.edges.clock.now();
+        for action in self.machine.handle(event, now) {
+            match action {
+                AgentAction::Run(order) => self.run(order, address),
+                AgentAction::Respond { reply, load } => {
+                    if let Some(sender) = sender.take() {
+                        let _ = sender.send(TaskReplyMessage::new(reply, load));
+                    }
+                }
+                AgentAction::Reply { task, reply, load } => self.reply(task, &reply, load),
+                AgentAction::Wait { task } => {
+                    let waiters = self.waiters.entry(task).or_default();
+                    waiters.retain(|waiter| !waiter.is_closed());
+                    waiters.extend(sender.take());
+                }
+                AgentAction::Note(event) => self.shared.recorder.record(event),
+            }
+        }
+    }
+
+    fn run(&self, order: StartOrder, address: &WeakAddress<Self>) {
+        let (shared, address) = (self.shared.clone(), address.clone());
+        tokio::spawn(async move {
+            let task = order.task;
+            let result = shared.edges.backend.run(order).await;
+            let _ = address.send(DecideAgent(AgentEvent::Finished { task, result })).await;
+        });
+    }
+
+    fn reply(&mut self, task: TaskId, reply: &TaskReply, load: LoadReport) {
+        for waiter in self.waiters.remove(&task).unwrap_or_default() {
+            let _ = waiter.send(TaskReplyMessage::new(reply.clone(), load));
+        }
+    }
+}
+
+/// Event for the decision part.
+#[derive(Debug)]
+pub(crate) struct DecideAgent(pub AgentEvent);
+
+impl Handler<DecideAgent> for AgentActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: DecideAgent, ctx: &mut Context<Self>) {
+        let address = ctx.mailbox().address();
+        self.decide(message.0, None, &address);
+    }
+}
+
+/// Start with the place for its reply.
+#[derive(Debug)]
+pub(crate) struct StartTask {
+    pub entry: EntryName,
+    pub order: StartOrder,
+    pub sender: ReplySender,
+}
+
+impl Handler<StartTask> for AgentActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: StartTask, ctx: &mut Context<Self>) {
+        let address = ctx.mailbox().address();
+        let event = AgentEvent::Start { entry: message.entry, order: message.order };
+        self.decide(event, Some(message.sender), &address);
+    }
+}
+
+/// Question with the place for its reply.
+#[derive(Debug)]
+pub(crate) struct AskTask {
+    pub ask: AskMessage,
+    pub sender: ReplySender,
+}
+
+impl Handler<AskTask> for AgentActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: AskTask, ctx: &mut Context<Self>) {
+        let address = ctx.mailbox().address();
+        let ask = message.ask;
+        let event = AgentEvent::Ask {
+            entry: ask.entry.into(),
+            task: ask.task.into(),
+            attempt: ask.attempt,
+            incarnation: ask.incarnation,
+            sent_at: Duration::from_micros(ask.sent_at_us),
+        };
+        self.decide(event, Some(message.sender), &address);
+    }
+}
+
+/// Asks for a heartbeat to the entry named.
+#[derive(Debug)]
+pub(crate) struct MakeReport(pub String);
+
+impl Handler<MakeReport> for AgentActor {
+    type Return = ServerReport;
+
+    async fn handle(&mut self, message: MakeReport, _ctx: &mut Context<Self>) -> ServerReport {
+        self.sequence += 1;
+        let settings = &self.shared.settings;
+        let load = self.machine.load_for(&message.0);
+        ServerReport {
+            name: settings.name.as_str().into(),
+            incarnation: self.machine.incarnation(),
+            sequence: self.sequence,
+            address: self.shared.address.to_string().into(),
+            domain: settings.domain.as_str().into(),
+            worker: settings.worker.as_str().into(),
+            services: settings.backend.services.iter().map(|name| name.as_str().into()).collect(),
+            slots: settings.backend.slots,
+            load: load.load,
+            own: load.own,
+            is_leaving: self.machine.is_leaving(),
+            clock: self.shared.edges.clock.now().elapsed,
+            version: self.machine.version(),
+        }
+    }
+}
+
+/// Answer of an entry to a heartbeat.
+#[derive(Debug)]
+pub(crate) struct TakeDirective {
+    pub directive: AgentDirective,
+    pub sent: Duration,
+}
+
+impl Handler<TakeDirective> for AgentActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: TakeDirective, ctx: &mut Context<Self>) {
+        let address = ctx.mailbox().address();
+        let TakeDirective { directive, sent } = message;
+        self.decide(AgentEvent::Directive { directive, sent }, None, &address);
+    }
+}
+
+/// Asks for the status.
+#[derive(Debug)]
+pub(crate) struct QueryAgent;
+
+impl Handler<QueryAgent> for AgentActor {
+    type Return = StatusBody;
+
+    async fn handle(&mut self, _message: QueryAgent, _ctx: &mut Context<Self>) -> StatusBody {
+        StatusBody {
+            name: self.shared.settings.name.clone(),
+            role: "agent".to_owned(),
+            life: self.shared.word.get().to_owned(),
+            version: self.machine.version(),
+            freshness: String::new(),
+            jobs: 0,
+            queued: self.machine.held(),
+            processes: Vec::new(),
+        }
+    }
+}
+
+/// A planned stop begins.
+#[derive(Debug)]
+pub(crate) struct DrainAgent;
+
+impl Handler<DrainAgent> for AgentActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: DrainAgent, ctx: &mut Context<Self>) {
+        let address = ctx.mailbox().address();
+        self.decide(AgentEvent::Drain, None, &address);
+    }
+}
+
+/// Asks how many tasks are held.
+#[derive(Debug)]
+pub(crate) struct QueryHeld;
+
+impl Handler<QueryHeld> for AgentActor {
+    type Return = usize;
+
+    async fn handle(&mut self, _message: QueryHeld, _ctx: &mut Context<Self>) -> usize {
+        self.machine.held()
+    }
+}
+
+/// Asks for the incarnation.
+#[derive(Debug)]
+pub(crate) struct QueryIncarnation;
+
+impl Handler<QueryIncarnation> for AgentActor {
+    type Return = Incarnation;
+
+    async fn handle(
+        &mut self,
+        _message: QueryIncarnation,
+        _ctx: &mut Context<Self>,
+    ) -> Incarnation {
+        self.machine.incarnation()
+    }
+}
+
+/// Ticks for as long as the actor lives.
+pub(crate) async fn tick(address: Address<AgentActor>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if address.send(DecideAgent(AgentEvent::Tick)).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/edge.rs
@@ -0,0 +1,103 @@
+//! Outer edges of the daemons.
+//!
+//! Whoever embeds the daemons, or attaches a bench to them, implements these traits; each adapter
+//! of the product is one file.
+
+use bytes::Bytes;
+use error_stack::Report;
+use futures_util::future::BoxFuture;
+use parsleyspool_core::agent::RunResult;
+use parsleyspool_core::entry::{BrokenReach, StartOrder};
+use parsleyspool_core::id::{Offset, PeerAddress};
+use parsleyspool_core::time::Moment;
+use parsleyspool_wire::peer::{
+    AskMessage, CancelMessage, DirectiveMessage, HeartbeatMessage, PeerQuestion, PeerStateMessage,
+    StartMessage, TaskReplyMessage,
+};
+use std::fmt::Debug;
+use std::time::Duration;
+
+use crate::error::DaemonError;
+
+/// Source of the present time.
+pub trait ClockSource: Debug + Send + Sync {
+    /// Present time.
+    fn now(&self) -> Moment;
+}
+
+/// Part of a stream of the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogPage {
+    /// Oldest offset still held.
+    pub earliest: Offset,
+    /// Offset that the next append will get.
+    pub end: Offset,
+    /// Records in the order of their offsets.
+    pub records: Vec<(Offset, Bytes)>,
+}
+
+/// The platform's append-only log.
+pub trait LogStore: Debug + Send + Sync {
+    /// Appends `record` to `stream` and returns its offset.
+    ///
+    /// After an error the record may or may not stand in the log.
+    fn append(
+        &self,
+        stream: &'static str,
+        record: Bytes,
+    ) -> BoxFuture<'_, Result<Offset, Report<DaemonError>>>;
+
+    /// Reads at most `limit` records of `stream` from the offset `from` on; where there is none,
+    /// waits up to `wait` for one.
+    fn read(
+        &self,
+        stream: &'static str,
+        from: Offset,
+        limit: usize,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<LogPage, Report<DaemonError>>>;
+}
+
+/// The backend server beside an agent.
+pub trait BackendServer: Debug + Send + Sync {
+    /// Runs one task.
+    fn run(&self, order: StartOrder) -> BoxFuture<'_, RunResult>;
+}
+
+/// The agents, as an entry reaches them.
+pub trait AgentPeer: Debug + Send + Sync {
+    /// Sends a start and waits for its outcome, at most `within`.
+    fn start(
+        &self,
+        address: PeerAddress,
+        message: StartMessage,
+        within: Duration,
+    ) -> BoxFuture<'_, Result<TaskReplyMessage, BrokenReach>>;
+
+    /// Asks over a new connection what became of a start.
+    fn ask(
+        &self,
+        address: PeerAddress,
+        message: AskMessage,
+    ) -> BoxFuture<'_, Result<TaskReplyMessage, BrokenReach>>;
+
+    /// Cancels tasks that have not started; nothing is promised.
+    fn cancel(&self, address: PeerAddress, message: CancelMessage) -> BoxFuture<'_, ()>;
+}
+
+/// The entries, as agents and other entries reach them.
+pub trait EntryPeer: Debug + Send + Sync {
+    /// Sends a heartbeat; `None` where no answer came.
+    fn heartbeat(
+        &self,
+        address: PeerAddress,
+        message: HeartbeatMessage,
+    ) -> BoxFuture<'_, Option<DirectiveMessage>>;
+
+    /// Asks for the state of another entry; `None` where no answer came.
+    fn state(
+        &self,
+        address: PeerAddress,
+        message: PeerQuestion,
+    ) -> BoxFuture<'_, Option<PeerStateMessage>>;
+}
--- /dev/null
+++ b/crates/daemon/src/entry.rs
@@ -0,0 +1,279 @@
+//! The entry daemon.
+//!
+//! One actor owns the [`EntryMachine`](parsleyspool_core::entry::EntryMachine). Callers, agents,
+//! operators, other entries and the streams of the log reach it as messages; what it decides is
+//! carried out by tasks that report back as messages.
+
+mod actor;
+mod callers;
+mod operators;
+pub(crate) use operators::set_level;
+mod peers;
+mod streams;
+
+pub use actor::{CallerAnswer, EntryActor};
+
+use crate::edge::{AgentPeer, ClockSource, EntryPeer, LogStore};
+use crate::error::DaemonError;
+use crate::exchange::HttpExchange;
+use crate::http::bind;
+use crate::life::{DaemonLife, Draining, LifeWord, Serving, Starting, Stopped};
+use crate::log_client::HttpLog;
+use crate::recorder::EventRecorder;
+use crate::settings::{EntryListen, EntrySettings};
+use crate::telemetry::logging::LogControl;
+use crate::telemetry::metrics::DaemonMetrics;
+use actor::{DrainEntry, EntryParts, QueryDrained};
+use error_stack::{Report, ResultExt};
+use parsleyspool_core::entry::{EntryIdentity, EntryMachine};
+use parsleyspool_core::id::Incarnation;
+use parsleyspool_core::lifecycle::LifecycleCharts;
+use parsleyspool_core::timeline::{EventKind, TimelineEvent};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, oneshot};
+use tokio::task::JoinHandle;
+use xtra::{Address, Mailbox};
+
+/// What an entry stands on.
+#[derive(Debug, Clone)]
+pub struct EntryEdges {
+    /// Clock.
+    pub clock: Arc<dyn ClockSource>,
+    /// Log.
+    pub log: Arc<dyn LogStore>,
+    /// Agents.
+    pub agents: Arc<dyn AgentPeer>,
+    /// Other entries.
+    pub entries: Arc<dyn EntryPeer>,
+}
+
+/// Parts of a running entry.
+#[derive(Debug)]
+pub struct EntryDaemon {
+    address: Address<EntryActor>,
+    callers: Option<TcpListener>,
+    peers: Option<TcpListener>,
+    shared: Arc<EntryShared>,
+    tasks: Vec<JoinHandle<()>>,
+    stops: Vec<oneshot::Sender<()>>,
+}
+
+/// What the tasks of an entry share.
+#[derive(Debug)]
+pub(crate) struct EntryShared {
+    pub settings: EntrySettings,
+    pub edges: EntryEdges,
+    pub recorder: Arc<EventRecorder>,
+    pub metrics: Arc<DaemonMetrics>,
+    pub control: LogControl,
+    pub word: LifeWord,
+    pub caller_address: SocketAddr,
+    pub peer_address: SocketAddr,
+    pub poke: Notify,
+}
+
+/// Mailbox of the actor, in messages.
+const MAILBOX: usize = 65_536;
+/// Time between two ticks of the decision part.
+pub(crate) const TICK: Duration = Duration::from_millis(50);
+
+/// Entry with its listeners bound, over HTTP on all sides.
+///
+/// # Errors
+/// Fails where a listener cannot be bound or a client cannot be built.
+pub async fn start(
+    settings: EntrySettings,
+    control: LogControl,
+    clock: Arc<dyn ClockSource>,
+) -> Result<DaemonLife<EntryDaemon, Starting>, Report<DaemonError>> {
+    let listeners = EntryListeners::bind(&settings.listen).await?;
+    start_on(listeners, settings, control, clock)
+}
+
+/// Listeners of an entry, bound before it starts.
+#[derive(Debug)]
+pub struct EntryListeners {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For agents, other entries and operators.
+    pub peers: TcpListener,
+}
+
+impl EntryListeners {
+    /// Listeners at the addresses of the settings.
+    ///
+    /// # Errors
+    /// Fails where an address is taken.
+    pub async fn bind(listen: &EntryListen) -> Result<Self, Report<DaemonError>> {
+        Ok(Self { callers: bind(listen.callers).await?, peers: bind(listen.peers).await? })
+    }
+}
+
+/// Entry on listeners that are bound already, over HTTP on all sides.
+///
+/// # Errors
+/// Fails where a client cannot be built.
+pub fn start_on(
+    listeners: EntryListeners,
+    settings: EntrySettings,
+    control: LogControl,
+    clock: Arc<dyn ClockSource>,
+) -> Result<DaemonLife<EntryDaemon, Starting>, Report<DaemonError>> {
+    let incarnation: Incarnation = rand::random();
+    let metrics = Arc::new(DaemonMetrics::new()?);
+    let capacity = settings.telemetry.events;
+    let recorder = EventRecorder::new(capacity, incarnation, clock.clone(), metrics.clone());
+    let recorder = Arc::new(recorder);
+    let log = HttpLog::new(&settings.log.url, settings.log.timeout)?.with_metrics(metrics.clone());
+    let exchange = Arc::new(HttpExchange::new(recorder.clone(), metrics.clone())?);
+    let edges =
+        EntryEdges { clock, log: Arc::new(log), agents: exchange.clone(), entries: exchange };
+    let telemetry = EntryTelemetry { recorder, metrics, control };
+    start_with(listeners, settings, edges, incarnation, telemetry)
+}
+
+/// Telemetry of an entry, made before its edges.
+#[derive(Debug)]
+pub struct EntryTelemetry {
+    /// Recorder.
+    pub recorder: Arc<EventRecorder>,
+    /// Metrics.
+    pub metrics: Arc<DaemonMetrics>,
+    /// Log control.
+    pub control: LogControl,
+}
+
+/// Entry on other edges; for embedders and benches.
+///
+/// # Errors
+/// Fails where a state chart is wrong.
+pub fn start_with(
+    listeners: EntryListeners,
+    settings: EntrySettings,
+    edges: EntryEdges,
+    incarnation: Incarnation,
+    telemetry: EntryTelemetry,
+) -> Result<DaemonLife<EntryDaemon, Starting>, Report<DaemonError>> {
+    LifecycleCharts::load().change_context(DaemonError::Charts)?;
+    let EntryListeners { callers, peers } = listeners;
+    let word = LifeWord::starting();
+    let identity = EntryIdentity {
+        name: settings.name.as_str().into(),
+        incarnation,
+        domain: settings.domain.as_str().into(),
+        rank: settings.rank,
+    };
+    let machine = EntryMachine::new(identity, settings.entry_limits(), incarnation);
+    let shared = Arc::new(EntryShared {
+        caller_address: callers.local_addr().change_context(DaemonError::Bind)?,
+        peer_address: peers.local_addr().change_context(DaemonError::Bind)?,
+        settings,
+        edges,
+        recorder: telemetry.recorder,
+        metrics: telemetry.metrics,
+        control: telemetry.control,
+        word: word.clone(),
+        poke: Notify::new(),
+    });
+    shared.recorder.record(TimelineEvent::new(EventKind::ProcessStarted));
+    let parts = EntryParts { machine, shared: shared.clone() };
+    let address = xtra::spawn_tokio(EntryActor::new(parts), Mailbox::bounded(MAILBOX));
+    let daemon = EntryDaemon {
+        address,
+        callers: Some(callers),
+        peers: Some(peers),
+        shared,
+        tasks: Vec::new(),
+        stops: Vec::new(),
+    };
+    Ok(DaemonLife::new(daemon, word))
+}
+
+impl EntryDaemon {
+    /// Address of the listener for callers.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.shared.caller_address
+    }
+
+    /// Address of the listener for agents, other entries and operators.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.shared.peer_address
+    }
+}
+
+impl DaemonLife<EntryDaemon, Starting> {
+    /// Serves callers, agents, operators and other entries, and follows the log.
+    pub fn run(mut self) -> DaemonLife<EntryDaemon, Serving> {
+        let daemon = &mut self.parts;
+        let (address, shared) = (daemon.address.clone(), daemon.shared.clone());
+        if let Some(listener) = daemon.callers.take() {
+            let routes = callers::routes(address.clone(), shared.clone());
+            let (stop, stopped) = oneshot::channel::<()>();
+            let server = warp::serve(routes).incoming(listener);
+            let server = server.graceful(async move {
+                let _ = stopped.await;
+            });
+            daemon.stops.push(stop);
+            daemon.tasks.push(tokio::spawn(server.run()));
+        }
+        if let Some(listener) = daemon.peers.take() {
+            let routes = peers::routes(address.clone(), shared.clone());
+            let server = warp::serve(routes).incoming(listener);
+            daemon.tasks.push(tokio::spawn(server.run()));
+        }
+        daemon.tasks.push(tokio::spawn(streams::follow_config(address.clone(), shared.clone())));
+        daemon.tasks.push(tokio::spawn(streams::follow_claims(address.clone(), shared.clone())));
+        daemon.tasks.push(tokio::spawn(streams::tick(address.clone())));
+        for (name, peer) in shared.settings.peers.clone() {
+            let follow = peers::follow(name, peer, address.clone(), shared.clone());
+            daemon.tasks.push(tokio::spawn(follow));
+        }
+        self.serve()
+    }
+}
+
+/// Time between two looks at the progress of a drain.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+impl DaemonLife<EntryDaemon, Serving> {
+    /// Begins a planned stop: new jobs are refused, jobs in progress are finished.
+    pub async fn begin_drain(self) -> DaemonLife<EntryDaemon, Draining> {
+        let _ = self.parts.address.send(DrainEntry).await;
+        self.drain()
+    }
+}
+
+impl DaemonLife<EntryDaemon, Draining> {
+    /// Waits for the jobs in progress, at most as long as the settings say, and stops.
+    pub async fn finish(mut self) -> DaemonLife<EntryDaemon, Stopped> {
+        let bound = tokio::time::Instant::now() + self.parts.shared.settings.drain;
+        let unfinished = loop {
+            let left = self.parts.address.send(QueryDrained).await.unwrap_or(0);
+            if left == 0 || tokio::time::Instant::now() >= bound {
+                break left;
+            }
+            tokio::time::sleep(DRAIN_POLL).await;
+        };
+        for stop in self.parts.stops.drain(..) {
+            let _ = stop.send(());
+        }
+        tokio::time::sleep(DRAIN_POLL).await;
+        for task in self.parts.tasks.drain(..) {
+            task.abort();
+        }
+        tracing::info!(event = "process_stopped", unfinished);
+        self.stop(unfinished)
+    }
+}
+
+impl DaemonLife<EntryDaemon, Serving> {
+    /// Ends at once, as a crash would; for tests.
+    pub fn abort(mut self) {
+        for task in self.parts.tasks.drain(..) {
+            task.abort();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/actor.rs
@@ -0,0 +1,538 @@
+//! Actor that owns the decisions of an entry.
+
+use super::EntryShared;
+use bytes::Bytes;
+use parsleyspool_core::config::{ApplyOutcome, ConfigRecord, ConfigSnapshot};
+use parsleyspool_core::directory::ServerReport;
+use parsleyspool_core::entry::{
+    BrokenReach, EntryAction, EntryEvent, EntryMachine, StartOrder, TaskReply,
+};
+use parsleyspool_core::id::{ChangeId, Offset, PeerAddress, SubmissionId, TaskId, Version};
+use parsleyspool_core::job::JobAnswer;
+use parsleyspool_wire::operator::{ConfigBody, ProcessBody, StatusBody};
+use parsleyspool_wire::peer::{
+    AskMessage, CancelMessage, DirectiveMessage, PeerQuestion, PeerStateMessage, StartMessage,
+};
+use parsleyspool_wire::record::{
+    ACCOUNT_STREAM, AccountRecordWire, CLAIM_STREAM, CONFIG_STREAM, encode_account, encode_claims,
+    encode_config,
+};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use xtra::WeakAddress;
+use xtra::prelude::*;
+
+/// Answer on its way to a caller.
+#[derive(Debug)]
+pub struct CallerAnswer {
+    /// Submission.
+    pub submission: SubmissionId,
+    /// Answer.
+    pub answer: JobAnswer,
+    /// Configuration version in force.
+    pub version: Version,
+}
+
+/// Parts that an actor is made of.
+#[derive(Debug)]
+pub(crate) struct EntryParts {
+    pub machine: EntryMachine,
+    pub shared: Arc<EntryShared>,
+}
+
+/// Actor of an entry.
+#[derive(Debug, xtra::Actor)]
+pub struct EntryActor {
+    machine: EntryMachine,
+    shared: Arc<EntryShared>,
+    waiters: HashMap<u64, oneshot::Sender<CallerAnswer>>,
+    known_peers: BTreeMap<String, KnownPeer>,
+}
+
+/// Another entry, as it was last heard.
+#[derive(Debug)]
+struct KnownPeer {
+    address: String,
+    version: Version,
+    heard: Duration,
+}
+
+impl EntryActor {
+    pub(crate) fn new(parts: EntryParts) -> Self {
+        Self {
+            machine: parts.machine,
+            shared: parts.shared,
+            waiters: HashMap::new(),
+            known_peers: BTreeMap::new(),
+        }
+    }
+
+    fn decide(&mut self, event: EntryEvent, address: &WeakAddress<Self>) {
+        let now = self.shared.edges.clock.now();
+        let actions = self.machine.handle(event, now);
+        let mut cancels: HashMap<PeerAddress, Vec<TaskId>> = HashMap::new();
+        for action in actions {
+            match action {
+                EntryAction::CancelTask { address, task, .. } => {
+                    cancels.entry(address).or_default().push(task);
+                }
+                other => self.carry_out(other, address),
+            }
+        }
+        for (agent, tasks) in cancels {
+            self.cancel(agent, tasks);
+        }
+    }
+
+    fn carry_out(&mut self, action: EntryAction, address: &WeakAddress<Self>) {
+        match action {
+            EntryAction::Answer { ticket, submission, answer, version } => {
+                self.answer(ticket, CallerAnswer { submission, answer, version });
+            }
+            EntryAction::Start { address: agent, order } => self.start(agent, order, address),
+            EntryAction::Ask { address: agent, task, attempt, incarnation, sent_at } => {
+                let message = AskMessage {
+                    entry: self.shared.settings.name.clone(),
+                    task: task.into(),
+                    attempt,
+                    incarnation,
+                    sent_at_us: u64::try_from(sent_at.as_micros()).unwrap_or(u64::MAX),
+                };
+                self.ask(agent, task, message, address);
+            }
+            EntryAction::CancelTask { .. } => {}
+            EntryAction::AppendClaims(steps) => match encode_claims(&steps) {
+                Ok(bytes) => self.append(CLAIM_STREAM, bytes, address, |is_confirmed| {
+                    EntryEvent::ClaimsAppended { is_confirmed }
+                }),
+                Err(error) => tracing::error!(event = "record_unwritable", %error),
+            },
+            EntryAction::AppendAccounts(step) => {
+                let identity = self.machine.identity();
+                let record = AccountRecordWire::new(&identity.name, identity.incarnation, &step);
+                match encode_account(&record) {
+                    Ok(bytes) => self.append(ACCOUNT_STREAM, bytes, address, |is_confirmed| {
+                        EntryEvent::AccountsAppended { is_confirmed }
+                    }),
+                    Err(error) => tracing::error!(event = "record_unwritable", %error),
+                }
+            }
+            EntryAction::AppendSnapshot(snapshot) => self.republish(snapshot),
+            EntryAction::Note(event) => self.shared.recorder.record(event),
+        }
+    }
+
+    fn answer(&mut self, ticket: u64, answer: CallerAnswer) {
+        if let Some(waiter) = self.waiters.remove(&ticket) {
+            let _ = waiter.send(answer);
+        }
+    }
+
+    fn start(&self, agent: PeerAddress, order: StartOrder, address: &WeakAddress<Self>) {
+        let (task, incarnation) = (order.task, order.incarnation);
+        let message = StartMessage::new(&self.shared.settings.name, order);
+        let within = self.shared.settings.limits.longest_deadline;
+        let (shared, address) = (self.shared.clone(), address.clone());
+        tokio::spawn(async move {
+            let result = shared.edges.agents.start(agent, message, within).await;
+            let event = match result {
+                Ok(reply) => reply_event(task, incarnation, reply),
+                Err(reach) => EntryEvent::Broken { task, incarnation, reach },
+            };
+            let _ = address.send(Decide(event)).await;
+        });
+    }
+
+    fn ask(
+        &self,
+        agent: PeerAddress,
+        task: TaskId,
+        message: AskMessage,
+        address: &WeakAddress<Self>,
+    ) {
+        let incarnation = message.incarnation;
+        let (shared, address) = (self.shared.clone(), address.clone());
+        tokio::spawn(async move {
+            let result = shared.edges.agents.ask(agent, message).await;
+            let event = match result {
+                Ok(reply) => reply_event(task, incarnation, reply),
+                // The next question is due already; only a refused connection decides anything.
+                Err(reach @ BrokenReach::PeerGone) => {
+                    EntryEvent::Broken { task, incarnation, reach }
+                }
+                Err(_) => return,
+            };
+            let _ = address.send(Decide(event)).await;
+        });
+    }
+
+    fn cancel(&self, agent: PeerAddress, tasks: Vec<TaskId>) {
+        let shared = self.shared.clone();
+        let message = CancelMessage { tasks: tasks.into_iter().map(Into::into).collect() };
+        tokio::spawn(async move { shared.edges.agents.cancel(agent, message).await });
+    }
+
+    fn append(
+        &self,
+        stream: &'static str,
+        bytes: Vec<u8>,
+        address: &WeakAddress<Self>,
+        event: impl FnOnce(bool) -> EntryEvent + Send + 'static,
+    ) {
+        let (shared, address) = (self.shared.clone(), address.clone());
+        tokio::spawn(async move {
+            let result = shared.edges.log.append(stream, Bytes::from(bytes)).await;
+            if let Err(report) = &result {
+                tracing::warn!(event = "append_unconfirmed", stream, error = %report);
+                tokio::time::sleep(APPEND_RETRY).await;
+            }
+            let _ = address.send(Decide(event(result.is_ok()))).await;
+        });
+    }
+
+    fn republish(&self, snapshot: ConfigSnapshot) {
+        let shared = self.shared.clone();
+        let bytes = match encode_config(&ConfigRecord::Snapshot(snapshot)) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                tracing::error!(event = "record_unwritable", %error);
+                return;
+            }
+        };
+        tokio::spawn(async move {
+            match shared.edges.log.append(CONFIG_STREAM, Bytes::from(bytes)).await {
+                Ok(offset) => tracing::info!(event = "config_republished", offset),
+                Err(report) => tracing::warn!(event = "append_unconfirmed", error = %report),
+            }
+        });
+    }
+}
+
+/// Time before an append that the log did not confirm is made again.
+const APPEND_RETRY: Duration = Duration::from_millis(200);
+
+fn reply_event(
+    task: TaskId,
+    incarnation: u64,
+    reply: parsleyspool_wire::peer::TaskReplyMessage,
+) -> EntryEvent {
+    let load = Some(reply.load());
+    EntryEvent::Reply { task, incarnation, reply: TaskReply::from(reply.reply), load }
+}
+
+/// Event for the decision part.
+#[derive(Debug)]
+pub(crate) struct Decide(pub EntryEvent);
+
+impl Handler<Decide> for EntryActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: Decide, ctx: &mut Context<Self>) {
+        let address = ctx.mailbox().address();
+        self.decide(message.0, &address);
+    }
+}
+
+/// Event of a caller with the place for its answer.
+#[derive(Debug)]
+pub(crate) struct CallerEvent {
+    pub ticket: u64,
+    pub event: EntryEvent,
+    pub waiter: oneshot::Sender<CallerAnswer>,
+}
+
+impl Handler<CallerEvent> for EntryActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: CallerEvent, ctx: &mut Context<Self>) {
+        self.waiters.insert(message.ticket, message.waiter);
+        let address = ctx.mailbox().address();
+        self.decide(message.event, &address);
+    }
+}
+
+/// A caller no longer waits.
+#[derive(Debug)]
+pub(crate) struct CallerGone(pub u64);
+
+impl Handler<CallerGone> for EntryActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: CallerGone, ctx: &mut Context<Self>) {
+        if self.waiters.remove(&message.0).is_some() {
+            let address = ctx.mailbox().address();
+            self.decide(EntryEvent::Cancel { ticket: message.0 }, &address);
+        }
+    }
+}
+
+/// Heartbeat of an agent.
+#[derive(Debug)]
+pub(crate) struct Heartbeat(pub ServerReport);
+
+impl Handler<Heartbeat> for EntryActor {
+    type Return = DirectiveMessage;
+
+    async fn handle(&mut self, message: Heartbeat, ctx: &mut Context<Self>) -> DirectiveMessage {
+        let (name, domain) = (message.0.name.clone(), message.0.domain.clone());
+        let address = ctx.mailbox().address();
+        self.decide(EntryEvent::Report(message.0), &address);
+        let now = self.shared.edges.clock.now();
+        let directive = self.machine.directive(&name, &domain, now);
+        let mut entries: BTreeMap<String, String> = self
+            .known_peers
+            .iter()
+            .map(|(name, peer)| (name.clone(), peer.address.clone()))
+            .collect();
+        entries.insert(self.shared.settings.name.clone(), self.shared.peer_address.to_string());
+        DirectiveMessage::new(&directive, entries)
+    }
+}
+
+/// Question of another entry.
+#[derive(Debug)]
+pub(crate) struct AskState(pub PeerQuestion);
+
+impl Handler<AskState> for EntryActor {
+    type Return = PeerStateMessage;
+
+    async fn handle(&mut self, message: AskState, _ctx: &mut Context<Self>) -> PeerStateMessage {
+        let now = self.shared.edges.clock.now();
+        let question = message.0;
+        let peer =
+            KnownPeer { address: question.address, version: question.version, heard: now.elapsed };
+        self.known_peers.insert(question.entry, peer);
+        let report = self.machine.peer_report(now);
+        let load = self.machine.team_load().iter();
+        let load = load.map(|(team, open)| (team.to_string(), *open)).collect();
+        let mut answer = PeerStateMessage::new(&report, load);
+        let ledger = self.machine.ledger();
+        let is_ahead = report.version > question.version || question.wants_state;
+        if is_ahead && ledger.is_whole() {
+            answer.state = Some(ledger.configuration().into());
+        }
+        answer
+    }
+}
+
+/// Answer of another entry, on its way to the decision part.
+#[derive(Debug)]
+pub(crate) struct PeerHeard {
+    pub address: String,
+    pub answer: PeerStateMessage,
+    pub asked: Duration,
+}
+
+impl Handler<PeerHeard> for EntryActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: PeerHeard, ctx: &mut Context<Self>) {
+        let address = ctx.mailbox().address();
+        let answer = message.answer;
+        let now = self.shared.edges.clock.now();
+        let peer =
+            KnownPeer { address: message.address, version: answer.version, heard: now.elapsed };
+        self.known_peers.insert(answer.entry.clone(), peer);
+        let report = answer.report();
+        if let Some(Ok(configuration)) = answer.state.map(TryInto::try_into) {
+            let snapshot = ConfigSnapshot { configuration };
+            self.decide(EntryEvent::PeerSnapshot(snapshot), &address);
+        }
+        let team_load = answer.team_load.into_iter().map(|(team, open)| (team.into(), open));
+        let team_load = team_load.collect();
+        self.decide(EntryEvent::Peer { report, team_load, asked: message.asked }, &address);
+    }
+}
+
+/// What the streams and peers need to know.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StreamPosition {
+    pub config: Offset,
+    pub claims: Offset,
+    pub version: Version,
+    pub is_whole: bool,
+}
+
+/// Asks for the [`StreamPosition`].
+#[derive(Debug)]
+pub(crate) struct QueryPosition;
+
+impl Handler<QueryPosition> for EntryActor {
+    type Return = StreamPosition;
+
+    async fn handle(
+        &mut self,
+        _message: QueryPosition,
+        _ctx: &mut Context<Self>,
+    ) -> StreamPosition {
+        let ledger = self.machine.ledger();
+        StreamPosition {
+            config: ledger.next_offset(),
+            claims: self.machine.next_claim_offset(),
+            version: ledger.configuration().version,
+            is_whole: ledger.is_whole(),
+        }
+    }
+}
+
+/// State of a change, as the actor sees it.
+#[derive(Debug, Clone)]
+pub(crate) struct ChangeState {
+    pub outcome: Option<ApplyOutcome>,
+    pub is_held_by_majority: bool,
+}
+
+/// Asks what became of a change.
+#[derive(Debug)]
+pub(crate) struct QueryChange(pub ChangeId);
+
+impl Handler<QueryChange> for EntryActor {
+    type Return = ChangeState;
+
+    async fn handle(&mut self, message: QueryChange, _ctx: &mut Context<Self>) -> ChangeState {
+        let outcome = self.machine.ledger().outcome(message.0).cloned();
+        let is_held_by_majority = match &outcome {
+            Some(ApplyOutcome::Accepted { version }) => self.machine.is_accepted(*version),
+            _ => false,
+        };
+        ChangeState { outcome, is_held_by_majority }
+    }
+}
+
+/// Asks for the configuration.
+#[derive(Debug)]
+pub(crate) struct QueryConfig;
+
+impl Handler<QueryConfig> for EntryActor {
+    type Return = ConfigBody;
+
+    async fn handle(&mut self, _message: QueryConfig, _ctx: &mut Context<Self>) -> ConfigBody {
+        ConfigBody {
+            entry: self.shared.settings.name.clone(),
+            freshness: self.freshness_word().to_owned(),
+            configuration: self.machine.ledger().configuration().into(),
+        }
+    }
+}
+
+/// Asks for the status.
+#[derive(Debug)]
+pub(crate) struct QueryStatus;
+
+impl Handler<QueryStatus> for EntryActor {
+    type Return = StatusBody;
+
+    async fn handle(&mut self, _message: QueryStatus, _ctx: &mut Context<Self>) -> StatusBody {
+        let gauges = self.machine.gauges();
+        StatusBody {
+            name: self.shared.settings.name.clone(),
+            role: "entry".to_owned(),
+            life: self.shared.word.get().to_owned(),
+            version: self.machine.ledger().configuration().version,
+            freshness: self.freshness_word().to_owned(),
+            jobs: gauges.jobs,
+            queued: gauges.queued,
+            processes: self.processes(),
+        }
+    }
+}
+
+impl EntryActor {
+    fn freshness_word(&self) -> &'static str {
+        use parsleyspool_core::freshness::FreshnessVerdict as Verdict;
+        match self.machine.verdict() {
+            _ if !self.machine.ledger().is_whole() => "lapsed",
+            Verdict::Confirmed { .. } => "confirmed",
+            Verdict::Agreed { .. } => "agreed",
+            Verdict::Lapsed => "lapsed",
+        }
+    }
+
+    fn processes(&self) -> Vec<ProcessBody> {
+        let now = self.shared.edges.clock.now().elapsed;
+        let millis =
+            |at: Duration| u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX);
+        let own = ProcessBody {
+            name: self.shared.settings.name.clone(),
+            role: "entry".to_owned(),
+            address: self.shared.peer_address.to_string(),
+            domain: self.shared.settings.domain.clone(),
+            worker: String::new(),
+            state: self.shared.word.get().to_owned(),
+            version: self.machine.ledger().configuration().version,
+            heard_ms: 0,
+            load: 0,
+            slots: 0,
+        };
+        let peers = self.known_peers.iter().map(|(name, peer)| ProcessBody {
+            name: name.clone(),
+            role: "entry".to_owned(),
+            address: peer.address.clone(),
+            domain: String::new(),
+            worker: String::new(),
+            state: "known".to_owned(),
+            version: peer.version,
+            heard_ms: millis(peer.heard),
+            load: 0,
+            slots: 0,
+        });
+        let agents = self.machine.directory().iter().map(|(_, server)| {
+            use parsleyspool_core::chart::ChartSymbol;
+            ProcessBody {
+                name: server.name().to_string(),
+                role: "agent".to_owned(),
+                address: server.latest().address.to_string(),
+                domain: server.domain().to_string(),
+                worker: server.latest().worker.to_string(),
+                state: server.state().name().to_owned(),
+                version: server.latest().version,
+                heard_ms: millis(server.heard()),
+                load: server.load(),
+                slots: server.latest().slots,
+            }
+        });
+        std::iter::once(own).chain(peers).chain(agents).collect()
+    }
+}
+
+/// Time passed.
+#[derive(Debug)]
+pub(crate) struct TickEntry;
+
+impl Handler<TickEntry> for EntryActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: TickEntry, ctx: &mut Context<Self>) {
+        let address = ctx.mailbox().address();
+        self.decide(EntryEvent::Tick, &address);
+        self.shared.metrics.set_gauges(self.machine.gauges());
+    }
+}
+
+/// A planned stop begins.
+#[derive(Debug)]
+pub(crate) struct DrainEntry;
+
+impl Handler<DrainEntry> for EntryActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: DrainEntry, ctx: &mut Context<Self>) {
+        let address = ctx.mailbox().address();
+        self.decide(EntryEvent::Drain, &address);
+    }
+}
+
+/// Asks how much of a drain is left.
+#[derive(Debug)]
+pub(crate) struct QueryDrained;
+
+impl Handler<QueryDrained> for EntryActor {
+    type Return = usize;
+
+    async fn handle(&mut self, _message: QueryDrained, _ctx: &mut Context<Self>) -> usize {
+        let jobs = self.machine.gauges().jobs;
+        if jobs == 0 && !self.machine.is_account_closed() { 1 } else { jobs }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/operators.rs
@@ -0,0 +1,154 @@
+//! HTTP for operators.
+
+use super::EntryShared;
+use super::actor::{EntryActor, QueryChange, QueryConfig, QueryStatus};
+use crate::http::{HttpReply, fault, json, reply};
+use bytes::Bytes;
+use parsleyspool_core::config::{ApplyOutcome, ChangeRecord, ConfigRecord};
+use parsleyspool_core::id::ChangeId;
+use parsleyspool_wire::operator::{ChangeBody, ChangeOutcomeBody, LogLevelBody};
+use parsleyspool_wire::record::{CONFIG_STREAM, encode_config};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use warp::http::StatusCode;
+use warp::{Filter, Rejection};
+use xtra::Address;
+
+/// Largest body of an operator's request, in bytes.
+const MAX_OPERATOR_BYTES: u64 = 1 << 20;
+/// Time to wait for a change to come back from the log.
+const CHANGE_WAIT: Duration = Duration::from_secs(5);
+/// Time between two looks at a change.
+const CHANGE_POLL: Duration = Duration::from_millis(10);
+/// Appends made of one change while the log does not confirm it.
+const CHANGE_APPENDS: u32 = 3;
+
+/// Routes for operators.
+pub(crate) fn routes(
+    address: Address<EntryActor>,
+    shared: Arc<EntryShared>,
+) -> impl Filter<Extract = (HttpReply,), Error = Rejection> + Clone {
+    let config_actor = address.clone();
+    let config = warp::path!("v1" / "config").and(warp::get()).then(move || {
+        let address = config_actor.clone();
+        async move { answer(address.send(QueryConfig).await) }
+    });
+    let status_actor = address.clone();
+    let status = warp::path!("v1" / "status").and(warp::get()).then(move || {
+        let address = status_actor.clone();
+        async move { answer(address.send(QueryStatus).await) }
+    });
+    let change_shared = shared.clone();
+    let changes = warp::path!("v1" / "changes")
+        .and(warp::post())
+        .and(warp::body::content_length_limit(MAX_OPERATOR_BYTES))
+        .and(warp::body::bytes())
+        .then(move |body| change(body, address.clone(), change_shared.clone()));
+    config.or(status).unify().or(changes).unify().or(process_routes(shared)).unify()
+}
+
+fn process_routes(
+    shared: Arc<EntryShared>,
+) -> impl Filter<Extract = (HttpReply,), Error = Rejection> + Clone {
+    let timeline_shared = shared.clone();
+    let timeline = warp::path!("v1" / "timeline").and(warp::get()).map(move || {
+        let settings = &timeline_shared.settings;
+        let mut body = timeline_shared.recorder.timeline(&settings.name, "entry");
+        body.domain.clone_from(&settings.domain);
+        json(StatusCode::OK, &body)
+    });
+    let metrics_shared = shared.clone();
+    let metrics = warp::path!("metrics").and(warp::get()).map(move || {
+        let text = metrics_shared.metrics.render();
+        reply(StatusCode::OK, "text/plain; version=0.0.4", text.into_bytes())
+    });
+    let level = warp::path!("v1" / "log-level")
+        .and(warp::put())
+        .and(warp::body::content_length_limit(MAX_OPERATOR_BYTES))
+        .and(warp::body::bytes())
+        .map(move |body: Bytes| set_level(&body, &shared.control));
+    timeline.or(metrics).unify().or(level).unify()
+}
+
+/// Sets the log levels of this process.
+pub(crate) fn set_level(body: &[u8], control: &crate::telemetry::logging::LogControl) -> HttpReply {
+    let body: LogLevelBody = match serde_json::from_slice(body) {
+        Ok(body) => body,
+        Err(error) => return fault(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    match control.set(&body.filter) {
+        Ok(()) => json(StatusCode::OK, &body),
+        Err(report) => fault(StatusCode::BAD_REQUEST, &report.to_string()),
+    }
+}
+
+fn answer<T: serde::Serialize>(result: Result<T, xtra::Error>) -> HttpReply {
+    match result {
+        Ok(body) => json(StatusCode::OK, &body),
+        Err(_) => fault(StatusCode::SERVICE_UNAVAILABLE, "the entry has stopped"),
+    }
+}
+
+async fn change(body: Bytes, address: Address<EntryActor>, shared: Arc<EntryShared>) -> HttpReply {
+    let record = serde_json::from_slice::<ChangeBody>(&body)
+        .map_err(|error| error.to_string())
+        .and_then(|body| ChangeRecord::try_from(body).map_err(|error| error.to_string()));
+    let record = match record {
+        Ok(record) => record,
+        Err(text) => return fault(StatusCode::BAD_REQUEST, &text),
+    };
+    let id = record.id;
+    let bytes = match encode_config(&ConfigRecord::Change(record)) {
+        Ok(bytes) => Bytes::from(bytes),
+        Err(error) => return fault(StatusCode::PAYLOAD_TOO_LARGE, &error.to_string()),
+    };
+    let until = Instant::now() + CHANGE_WAIT;
+    let mut outcome = look(&address, id).await;
+    for _ in 0..CHANGE_APPENDS {
+        if outcome != ChangeOutcomeBody::Unknown || Instant::now() >= until {
+            break;
+        }
+        let append = shared.edges.log.append(CONFIG_STREAM, bytes.clone()).await;
+        let wait = if append.is_ok() { CHANGE_WAIT } else { CHANGE_POLL };
+        outcome = await_outcome(&address, &shared, id, until.min(Instant::now() + wait)).await;
+    }
+    json(StatusCode::OK, &outcome)
+}
+
+/// Waits until the change is accepted or rejected, or `until`.
+async fn await_outcome(
+    address: &Address<EntryActor>,
+    shared: &EntryShared,
+    id: ChangeId,
+    until: Instant,
+) -> ChangeOutcomeBody {
+    loop {
+        let outcome = look(address, id).await;
+        let is_settled = matches!(
+            outcome,
+            ChangeOutcomeBody::Accepted { .. } | ChangeOutcomeBody::Rejected { .. }
+        );
+        if is_settled || Instant::now() >= until {
+            return outcome;
+        }
+        if matches!(outcome, ChangeOutcomeBody::Unconfirmed { .. }) {
+            shared.poke.notify_waiters();
+        }
+        tokio::time::sleep(CHANGE_POLL).await;
+    }
+}
+
+async fn look(address: &Address<EntryActor>, id: ChangeId) -> ChangeOutcomeBody {
+    let Ok(state) = address.send(QueryChange(id)).await else {
+        return ChangeOutcomeBody::Unknown;
+    };
+    match state.outcome {
+        Some(ApplyOutcome::Accepted { version }) if state.is_held_by_majority => {
+            ChangeOutcomeBody::Accepted { version }
+        }
+        Some(ApplyOutcome::Accepted { version }) => ChangeOutcomeBody::Unconfirmed { version },
+        Some(ApplyOutcome::Rejected { current }) => ChangeOutcomeBody::Rejected { current },
+        _ => ChangeOutcomeBody::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/peers.rs
@@ -0,0 +1,89 @@
+//! HTTP for agents, other entries and operators, and the questions to other entries.
+
+use super::EntryShared;
+use super::actor::{AskState, EntryActor, Heartbeat, PeerHeard, QueryPosition};
+use super::operators;
+use crate::http::{HttpReply, fault, message, message_body, open, recover};
+use bytes::Bytes;
+use parsleyspool_wire::peer::{Envelope, HeartbeatMessage, PeerQuestion};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use warp::http::StatusCode;
+use warp::{Filter, Reply};
+use xtra::Address;
+
+/// Time between two questions to another entry.
+const PEER_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Routes for agents, other entries and operators.
+pub(crate) fn routes(
+    address: Address<EntryActor>,
+    shared: Arc<EntryShared>,
+) -> impl Filter<Extract = (impl Reply,), Error = Infallible> + Clone {
+    let (agents, agents_shared) = (address.clone(), shared.clone());
+    let heartbeat = warp::path!("peer" / "heartbeat")
+        .and(warp::post())
+        .and(message_body())
+        .then(move |body| heartbeat(body, agents.clone(), agents_shared.clone()));
+    let (entries, entries_shared) = (address.clone(), shared.clone());
+    let state = warp::path!("peer" / "state")
+        .and(warp::post())
+        .and(message_body())
+        .then(move |body| state(body, entries.clone(), entries_shared.clone()));
+    heartbeat.or(state).unify().or(operators::routes(address, shared)).unify().recover(recover)
+}
+
+async fn heartbeat(
+    body: Bytes,
+    address: Address<EntryActor>,
+    shared: Arc<EntryShared>,
+) -> HttpReply {
+    let envelope = match open::<HeartbeatMessage>(&body) {
+        Ok(envelope) => envelope,
+        Err(reply) => return *reply,
+    };
+    shared.recorder.observe(envelope.stamp());
+    match address.send(Heartbeat(envelope.body.into())).await {
+        Ok(directive) => message(&Envelope::new(shared.recorder.stamp(), directive)),
+        Err(_) => fault(StatusCode::SERVICE_UNAVAILABLE, "the entry has stopped"),
+    }
+}
+
+async fn state(body: Bytes, address: Address<EntryActor>, shared: Arc<EntryShared>) -> HttpReply {
+    let envelope = match open::<PeerQuestion>(&body) {
+        Ok(envelope) => envelope,
+        Err(reply) => return *reply,
+    };
+    shared.recorder.observe(envelope.stamp());
+    match address.send(AskState(envelope.body)).await {
+        Ok(answer) => message(&Envelope::new(shared.recorder.stamp(), answer)),
+        Err(_) => fault(StatusCode::SERVICE_UNAVAILABLE, "the entry has stopped"),
+    }
+}
+
+/// Asks another entry for its state for as long as the actor lives.
+pub(crate) async fn follow(
+    name: String,
+    peer: SocketAddr,
+    address: Address<EntryActor>,
+    shared: Arc<EntryShared>,
+) {
+    while let Ok(position) = address.send(QueryPosition).await {
+        let question = PeerQuestion {
+            entry: shared.settings.name.clone(),
+            address: shared.peer_address.to_string(),
+            version: position.version,
+            wants_state: !position.is_whole,
+        };
+        let asked = shared.edges.clock.now().elapsed;
+        let answer = shared.edges.entries.state(peer.to_string().into(), question).await;
+        if let Some(answer) = answer.filter(|answer| answer.entry == name) {
+            let heard = PeerHeard { address: peer.to_string(), answer, asked };
+            let _ = address.send(heard).await;
+        }
+        let poked = shared.poke.notified();
+        let _ = tokio::time::timeout(PEER_INTERVAL, poked).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/streams.rs
@@ -0,0 +1,96 @@
+//! The streams of the log that an entry follows, and its ticks.
+
+use super::actor::{Decide, EntryActor, QueryPosition, TickEntry};
+use super::{EntryShared, TICK};
+use crate::edge::LogPage;
+use bytes::Bytes;
+use parsleyspool_core::entry::{EntryEvent, StreamRead};
+use parsleyspool_core::id::Offset;
+use parsleyspool_wire::record::{CLAIM_STREAM, CONFIG_STREAM, decode_claims, decode_config};
+use std::sync::Arc;
+use std::time::Duration;
+use xtra::Address;
+
+/// Most records in one read.
+const READ_LIMIT: usize = 1000;
+/// Time before a failed read is made again.
+const READ_RETRY: Duration = Duration::from_millis(100);
+
+/// Follows the configuration stream for as long as the actor lives.
+///
+/// The first read, and the first after a failure, does not wait at the end of the stream, so an
+/// entry learns at once that it has read everything.
+pub(crate) async fn follow_config(address: Address<EntryActor>, shared: Arc<EntryShared>) {
+    let mut wait = Duration::ZERO;
+    while let Ok(position) = address.send(QueryPosition).await {
+        let from = position.config;
+        let Some(read) = read(&shared, CONFIG_STREAM, from, wait, decode_config).await else {
+            wait = Duration::ZERO;
+            tokio::time::sleep(READ_RETRY).await;
+            continue;
+        };
+        wait = shared.settings.log.wait;
+        if address.send(Decide(EntryEvent::ConfigRead(read))).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Follows the claim stream for as long as the actor lives.
+pub(crate) async fn follow_claims(address: Address<EntryActor>, shared: Arc<EntryShared>) {
+    let decode = |bytes: &[u8]| decode_claims(bytes).unwrap_or_default();
+    let mut wait = Duration::ZERO;
+    while let Ok(position) = address.send(QueryPosition).await {
+        let Some(read) = read(&shared, CLAIM_STREAM, position.claims, wait, decode).await else {
+            wait = Duration::ZERO;
+            tokio::time::sleep(READ_RETRY).await;
+            continue;
+        };
+        wait = shared.settings.log.wait;
+        if address.send(Decide(EntryEvent::ClaimRead(read))).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Ticks for as long as the actor lives.
+pub(crate) async fn tick(address: Address<EntryActor>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if address.send(TickEntry).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read<R>(
+    shared: &EntryShared,
+    stream: &'static str,
+    from: Offset,
+    wait: Duration,
+    decode: impl Fn(&[u8]) -> R,
+) -> Option<StreamRead<R>> {
+    let sent = shared.edges.clock.now().elapsed;
+    let page = match shared.edges.log.read(stream, from, READ_LIMIT, wait).await {
+        Ok(page) => page,
+        Err(report) => {
+            tracing::debug!(event = "read_failed", stream, error = %report);
+            return None;
+        }
+    };
+    if page.end < from {
+        tracing::error!(event = "log_went_back", stream, from, end = page.end);
+        return None;
+    }
+    let is_end = next_after(&page, from) >= page.end;
+    let records = page.records.iter();
+    let records = records.map(|(offset, bytes): &(Offset, Bytes)| (*offset, decode(bytes)));
+    Some(StreamRead { records: records.collect(), earliest: page.earliest, is_end, sent })
+}
+
+fn next_after(page: &LogPage, from: Offset) -> Offset {
+    let last = page.records.last().map(|(offset, _)| offset + 1);
+    last.unwrap_or(from.max(page.earliest))
+}
--- /dev/null
+++ b/crates/daemon/src/exchange.rs
@@ -0,0 +1,229 @@
+//! Messages between the daemons over HTTP.
+//!
+//! Two clients are kept. The pooled one reuses connections. The direct one opens a new connection
+//! for each message and serves questions, because an open connection may be silent for good while
+//! new ones work. After an exchange with a peer broke, everything to that peer goes over new
+//! connections until the pool has dropped its idle ones.
+
+use crate::edge::{AgentPeer, EntryPeer};
+use crate::error::DaemonError;
+use crate::http::MESSAGE_TYPE;
+use crate::recorder::EventRecorder;
+use crate::telemetry::metrics::{DaemonMetrics, MessageKind};
+use error_stack::{Report, ResultExt};
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use parsleyspool_core::entry::BrokenReach;
+use parsleyspool_core::id::PeerAddress;
+use parsleyspool_wire::codec::{MAX_MESSAGE_BYTES, decode, encode};
+use parsleyspool_wire::peer::{
+    AskMessage, CancelMessage, DirectiveMessage, Envelope, HeartbeatMessage, PeerQuestion,
+    PeerStateMessage, StartMessage, TaskReplyMessage,
+};
+use reqwest::Client;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::collections::HashMap;
+use std::error::Error as _;
+use std::io::ErrorKind as IoErrorKind;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which the pool drops an idle connection.
+const POOL_IDLE: Duration = Duration::from_secs(5);
+/// Longest time that an agent holds a question.
+pub const ASK_HOLD: Duration = Duration::from_secs(1);
+/// Time for the answer to a question, the hold included.
+const ASK_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time for the answer to a heartbeat or to a question between entries.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Which connection a message may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RouteKind {
+    Pooled,
+    Direct,
+}
+
+/// Exchanges over HTTP.
+#[derive(Debug)]
+pub struct HttpExchange {
+    pooled: Client,
+    direct: Client,
+    suspects: Mutex<HashMap<PeerAddress, Instant>>,
+    recorder: Arc<EventRecorder>,
+    metrics: Arc<DaemonMetrics>,
+}
+
+impl HttpExchange {
+    /// Exchange that stamps its messages with the clock of `recorder`.
+    ///
+    /// # Errors
+    /// Fails where the HTTP client cannot be built.
+    pub fn new(
+        recorder: Arc<EventRecorder>,
+        metrics: Arc<DaemonMetrics>,
+    ) -> Result<Self, Report<DaemonError>> {
+        let builder =
+            || Client::builder().connect_timeout(CONNECT_TIMEOUT).no_proxy().tcp_nodelay(true);
+        let pooled = builder().pool_idle_timeout(POOL_IDLE).build();
+        let direct = builder().pool_max_idle_per_host(0).build();
+        Ok(Self {
+            pooled: pooled.change_context(DaemonError::Client)?,
+            direct: direct.change_context(DaemonError::Client)?,
+            suspects: Mutex::new(HashMap::new()),
+            recorder,
+            metrics,
+        })
+    }
+
+    fn client(&self, address: &PeerAddress, route: RouteKind) -> &Client {
+        let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_suspect = suspects.get(address).is_some_and(|&until| until > Instant::now());
+        if !is_suspect {
+            suspects.remove(address);
+        }
+        match route {
+            RouteKind::Pooled if !is_suspect => &self.pooled,
+            _ => &self.direct,
+        }
+    }
+
+    fn suspect(&self, address: &PeerAddress) {
+        let until = Instant::now() + POOL_IDLE;
+        let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        suspects.insert(address.clone(), until);
+    }
+
+    async fn send<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        address: &PeerAddress,
+        path: &str,
+        message: Q,
+        route: RouteKind,
+        within: Duration,
+    ) -> Result<A, BrokenReach> {
+        let result = self.try_send(address, path, message, route, within).await;
+        if result.is_err() {
+            self.suspect(address);
+        }
+        result
+    }
+
+    async fn try_send<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        address: &PeerAddress,
+        path: &str,
+        message: Q,
+        route: RouteKind,
+        within: Duration,
+    ) -> Result<A, BrokenReach> {
+        let envelope = Envelope::new(self.recorder.stamp(), message);
+        let body = encode(&envelope).map_err(|_| BrokenReach::NothingSent)?;
+        let request = self.client(address, route).post(format!("http://{address}{path}"));
+        let request = request.header("content-type", MESSAGE_TYPE).timeout(within).body(body);
+        let response = request.send().await.map_err(|error| reach_of(&error))?;
+        let bytes = response.bytes().await.map_err(|_| BrokenReach::MaybeSent)?;
+        let answer: Envelope<A> =
+            decode(&bytes, MAX_MESSAGE_BYTES).map_err(|_| BrokenReach::MaybeSent)?;
+        self.recorder.observe(answer.stamp());
+        Ok(answer.body)
+    }
+}
+
+/// How far a request came before it failed.
+fn reach_of(error: &reqwest::Error) -> BrokenReach {
+    if !error.is_connect() {
+        return BrokenReach::MaybeSent;
+    }
+    let mut source = error.source();
+    while let Some(cause) = source {
+        let io = cause.downcast_ref::<std::io::Error>();
+        if io.is_some_and(|io| io.kind() == IoErrorKind::ConnectionRefused) {
+            return BrokenReach::PeerGone;
+        }
+        source = cause.source();
+    }
+    BrokenReach::NothingSent
+}
+
+impl AgentPeer for HttpExchange {
+    fn start(
+        &self,
+        address: PeerAddress,
+        message: StartMessage,
+        within: Duration,
+    ) -> BoxFuture<'_, Result<TaskReplyMessage, BrokenReach>> {
+        async move {
+            self.metrics.count_message(MessageKind::Start);
+            let result =
+                self.send(&address, "/peer/start", message, RouteKind::Pooled, within).await;
+            // The start itself found no listener, so nothing of it was sent.
+            result.map_err(|reach| match reach {
+                BrokenReach::PeerGone => BrokenReach::NothingSent,
+                other => other,
+            })
+        }
+        .boxed()
+    }
+
+    fn ask(
+        &self,
+        address: PeerAddress,
+        message: AskMessage,
+    ) -> BoxFuture<'_, Result<TaskReplyMessage, BrokenReach>> {
+        async move {
+            self.metrics.count_message(MessageKind::Ask);
+            let result =
+                self.send(&address, "/peer/ask", message, RouteKind::Direct, ASK_TIMEOUT).await;
+            // No connection for a question says nothing of the start that it is about.
+            result.map_err(|reach| match reach {
+                BrokenReach::NothingSent => BrokenReach::MaybeSent,
+                other => other,
+            })
+        }
+        .boxed()
+    }
+
+    fn cancel(&self, address: PeerAddress, message: CancelMessage) -> BoxFuture<'_, ()> {
+        async move {
+            self.metrics.count_message(MessageKind::Cancel);
+            let route = RouteKind::Pooled;
+            let sent =
+                self.send::<_, ()>(&address, "/peer/cancel", message, route, CONTROL_TIMEOUT);
+            let _ = sent.await;
+        }
+        .boxed()
+    }
+}
+
+impl EntryPeer for HttpExchange {
+    fn heartbeat(
+        &self,
+        address: PeerAddress,
+        message: HeartbeatMessage,
+    ) -> BoxFuture<'_, Option<DirectiveMessage>> {
+        async move {
+            self.metrics.count_message(MessageKind::Heartbeat);
+            let route = RouteKind::Pooled;
+            self.send(&address, "/peer/heartbeat", message, route, CONTROL_TIMEOUT).await.ok()
+        }
+        .boxed()
+    }
+
+    fn state(
+        &self,
+        address: PeerAddress,
+        message: PeerQuestion,
+    ) -> BoxFuture<'_, Option<PeerStateMessage>> {
+        async move {
+            self.metrics.count_message(MessageKind::PeerState);
+            let route = RouteKind::Pooled;
+            self.send(&address, "/peer/state", message, route, CONTROL_TIMEOUT).await.ok()
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http.rs
@@ -0,0 +1,96 @@
+//! HTTP shared by the daemons: bodies, replies and listeners.
+
+use crate::error::DaemonError;
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use parsleyspool_wire::codec::{MAX_MESSAGE_BYTES, decode, encode};
+use parsleyspool_wire::operator::OperatorErrorBody;
+use parsleyspool_wire::peer::Envelope;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+use warp::http::{Response, StatusCode};
+use warp::reject::{LengthRequired, MethodNotAllowed, PayloadTooLarge};
+use warp::{Filter, Rejection};
+
+/// Reply with a whole body.
+pub type HttpReply = Response<Vec<u8>>;
+
+/// Media type of messages between the daemons.
+pub const MESSAGE_TYPE: &str = "application/msgpack";
+
+/// Listener bound to `address`.
+///
+/// # Errors
+/// Fails where the address is taken or not of this machine.
+pub async fn bind(address: SocketAddr) -> Result<TcpListener, Report<DaemonError>> {
+    TcpListener::bind(address)
+        .await
+        .change_context(DaemonError::Bind)
+        .attach_with(|| format!("address {address}"))
+}
+
+/// Body of at most [`MAX_MESSAGE_BYTES`].
+pub fn message_body() -> impl Filter<Extract = (Bytes,), Error = Rejection> + Clone {
+    warp::body::content_length_limit(MAX_MESSAGE_BYTES as u64).and(warp::body::bytes())
+}
+
+/// Envelope in a body; the error is the reply to send.
+///
+/// # Errors
+/// Fails where the body is not such a message.
+pub fn open<T: DeserializeOwned>(body: &[u8]) -> Result<Envelope<T>, Box<HttpReply>> {
+    decode(body, MAX_MESSAGE_BYTES)
+        .map_err(|error| Box::new(fault(StatusCode::BAD_REQUEST, &error.to_string())))
+}
+
+/// Reply with a message.
+pub fn message<T: Serialize>(value: &Envelope<T>) -> HttpReply {
+    match encode(value) {
+        Ok(bytes) => reply(StatusCode::OK, MESSAGE_TYPE, bytes),
+        Err(error) => fault(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
+}
+
+/// Reply with JSON.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> HttpReply {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => reply(status, "application/json", bytes),
+        Err(error) => fault(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
+}
+
+/// Reply that says what could not be done.
+pub fn fault(status: StatusCode, text: &str) -> HttpReply {
+    let body = OperatorErrorBody { error: text.to_owned() };
+    let bytes = serde_json::to_vec(&body).unwrap_or_default();
+    reply(status, "application/json", bytes)
+}
+
+/// Reply with a body of the media type `kind`.
+pub fn reply(status: StatusCode, kind: &'static str, body: Vec<u8>) -> HttpReply {
+    let mut reply = Response::new(body);
+    *reply.status_mut() = status;
+    let kind = warp::http::HeaderValue::from_static(kind);
+    reply.headers_mut().insert(warp::http::header::CONTENT_TYPE, kind);
+    reply
+}
+
+/// Reply to a request that no route took.
+///
+/// # Errors
+/// Never fails.
+pub async fn recover(rejection: Rejection) -> Result<HttpReply, Infallible> {
+    let (status, text) = if rejection.find::<PayloadTooLarge>().is_some() {
+        (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+    } else if rejection.find::<LengthRequired>().is_some() {
+        (StatusCode::LENGTH_REQUIRED, "the body states no length")
+    } else if rejection.find::<MethodNotAllowed>().is_some() {
+        (StatusCode::METHOD_NOT_ALLOWED, "the resource does not take this method")
+    } else {
+        (StatusCode::NOT_FOUND, "no such resource")
+    };
+    Ok(fault(status, text))
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,20 @@
+//! Daemons of the parsleyspool dispatcher.
+//!
+//! This package carries the decisions of `parsleyspool-core` on tokio and xtra: it opens the
+//! sockets, reads the clocks and moves the messages, and decides nothing itself. [`entry`] is the
+//! daemon that callers talk to, [`agent`] the one beside each backend server. Everything outside
+//! stands behind the narrow traits of [`edge`].
+
+pub mod agent;
+pub mod backend;
+pub mod clock;
+pub mod edge;
+pub mod entry;
+pub mod error;
+pub mod exchange;
+pub mod http;
+pub mod life;
+pub mod log_client;
+pub mod recorder;
+pub mod settings;
+pub mod telemetry;
--- /dev/null
+++ b/crates/daemon/src/life.rs
@@ -0,0 +1,83 @@
+//! Life of a daemon as types.
+//!
+//! A daemon is [`Starting`] until its listeners are bound, [`Serving`] until a planned stop begins,
+//! [`Draining`] until its work is finished or its bound is reached, and [`Stopped`] then. Each step
+//! consumes the daemon and returns it in its next state, so a step cannot be left out or repeated.
+
+use std::fmt::Debug;
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Not yet taking work.
+#[derive(Debug)]
+pub struct Starting;
+/// Taking work.
+#[derive(Debug)]
+pub struct Serving;
+/// Finishing work.
+#[derive(Debug)]
+pub struct Draining;
+/// Finished; holds what was left undone.
+#[derive(Debug)]
+pub struct Stopped {
+    /// Jobs or tasks that the bound of the drain cut off.
+    pub unfinished: usize,
+}
+
+/// Word for the present state, for status pages.
+#[derive(Debug, Clone, Default)]
+pub struct LifeWord(Arc<Mutex<&'static str>>);
+
+impl LifeWord {
+    /// Word of a daemon that starts.
+    pub fn starting() -> Self {
+        Self(Arc::new(Mutex::new("starting")))
+    }
+
+    /// Present word.
+    pub fn get(&self) -> &'static str {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set(&self, word: &'static str) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = word;
+    }
+}
+
+/// Daemon with the parts `P`, in the state `S`.
+#[derive(Debug)]
+pub struct DaemonLife<P, S> {
+    /// Parts that live as long as the daemon.
+    pub parts: P,
+    /// State with what belongs to it.
+    pub state: S,
+    word: LifeWord,
+}
+
+impl<P> DaemonLife<P, Starting> {
+    /// Daemon whose parts are made.
+    pub fn new(parts: P, word: LifeWord) -> Self {
+        Self { parts, state: Starting, word }
+    }
+
+    /// Daemon that takes work from now on.
+    pub fn serve(self) -> DaemonLife<P, Serving> {
+        self.word.set("serving");
+        DaemonLife { parts: self.parts, state: Serving, word: self.word }
+    }
+}
+
+impl<P> DaemonLife<P, Serving> {
+    /// Daemon that takes no new work from now on.
+    pub fn drain(self) -> DaemonLife<P, Draining> {
+        self.word.set("draining");
+        DaemonLife { parts: self.parts, state: Draining, word: self.word }
+    }
+}
+
+impl<P> DaemonLife<P, Draining> {
+    /// Daemon that has finished, but for `unfinished` jobs or tasks.
+    pub fn stop(self, unfinished: usize) -> DaemonLife<P, Stopped> {
+        self.word.set("stopped");
+        DaemonLife { parts: self.parts, state: Stopped { unfinished }, word: self.word }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/log_client.rs
@@ -0,0 +1,117 @@
+//! The platform's log over HTTP.
+
+use crate::edge::{LogPage, LogStore};
+use crate::error::DaemonError;
+use crate::telemetry::metrics::{DaemonMetrics, MessageKind};
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use parsleyspool_core::id::Offset;
+use parsleyspool_wire::codec::decode;
+use parsleyspool_wire::platform::{AppendReply, ReadQuery, ReadReply};
+use reqwest::{Client, RequestBuilder};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Largest answer of the log, in bytes.
+const MAX_PAGE_BYTES: usize = 64 << 20;
+/// Time after which an idle connection is closed.
+const POOL_IDLE: Duration = Duration::from_secs(5);
+
+/// Log behind a URL.
+#[derive(Debug)]
+pub struct HttpLog {
+    client: Client,
+    base: String,
+    timeout: Duration,
+    metrics: Option<Arc<DaemonMetrics>>,
+}
+
+impl HttpLog {
+    /// Log at `base` that is given up on after `timeout`.
+    ///
+    /// # Errors
+    /// Fails where the HTTP client cannot be built.
+    pub fn new(base: &str, timeout: Duration) -> Result<Self, Report<DaemonError>> {
+        let client = Client::builder()
+            .connect_timeout(timeout)
+            .pool_idle_timeout(POOL_IDLE)
+            .no_proxy()
+            .tcp_nodelay(true)
+            .build()
+            .change_context(DaemonError::Client)?;
+        let base = base.trim_end_matches('/').to_owned();
+        Ok(Self { client, base, timeout, metrics: None })
+    }
+
+    /// The same log with its messages counted.
+    pub fn with_metrics(self, metrics: Arc<DaemonMetrics>) -> Self {
+        Self { metrics: Some(metrics), ..self }
+    }
+
+    fn count(&self, kind: MessageKind) {
+        if let Some(metrics) = &self.metrics {
+            metrics.count_message(kind);
+        }
+    }
+
+    fn url(&self, stream: &str) -> String {
+        format!("{}/streams/{stream}/records", self.base)
+    }
+
+    async fn fetch(&self, request: RequestBuilder) -> Result<Bytes, Report<DaemonError>> {
+        let response = request.send().await.change_context(DaemonError::Log)?;
+        let status = response.status();
+        if !status.is_success() {
+            return Err(Report::new(DaemonError::Log).attach(format!("status {status}")));
+        }
+        response.bytes().await.change_context(DaemonError::Log)
+    }
+}
+
+impl LogStore for HttpLog {
+    fn append(
+        &self,
+        stream: &'static str,
+        record: Bytes,
+    ) -> BoxFuture<'_, Result<Offset, Report<DaemonError>>> {
+        async move {
+            self.count(MessageKind::Append);
+            let request = self.client.post(self.url(stream)).timeout(self.timeout).body(record);
+            let bytes = self.fetch(request).await?;
+            let reply: AppendReply =
+                decode(&bytes, MAX_PAGE_BYTES).change_context(DaemonError::Log)?;
+            Ok(reply.offset)
+        }
+        .boxed()
+    }
+
+    fn read(
+        &self,
+        stream: &'static str,
+        from: Offset,
+        limit: usize,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<LogPage, Report<DaemonError>>> {
+        async move {
+            self.count(MessageKind::Read);
+            let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            let query = ReadQuery { from, limit, wait_ms };
+            let url = format!(
+                "{}?from={}&limit={}&wait_ms={}",
+                self.url(stream),
+                query.from,
+                query.limit,
+                query.wait_ms
+            );
+            let request = self.client.get(url).timeout(self.timeout + wait);
+            let bytes = self.fetch(request).await?;
+            let reply: ReadReply =
+                decode(&bytes, MAX_PAGE_BYTES).change_context(DaemonError::Log)?;
+            let records = reply.records.into_iter().map(|record| (record.offset, record.data));
+            Ok(LogPage { earliest: reply.earliest, end: reply.end, records: records.collect() })
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/recorder.rs
@@ -0,0 +1,100 @@
+//! Event ring and hybrid clock of one process, shared by its tasks.
+
+use crate::edge::ClockSource;
+use crate::telemetry::metrics::DaemonMetrics;
+use parsleyspool_core::id::Incarnation;
+use parsleyspool_core::time::{HybridClock, Stamp};
+use parsleyspool_core::timeline::{EventKind, EventRing, TimelineEvent};
+use parsleyspool_wire::operator::TimelineBody;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Records events in the ring, the log and the metrics.
+#[derive(Debug)]
+pub struct EventRecorder {
+    state: Mutex<RecorderState>,
+    clock: Arc<dyn ClockSource>,
+    metrics: Arc<DaemonMetrics>,
+}
+
+#[derive(Debug)]
+struct RecorderState {
+    hybrid: HybridClock,
+    ring: EventRing,
+}
+
+impl EventRecorder {
+    /// Recorder with a ring of `capacity` events.
+    pub fn new(
+        capacity: usize,
+        incarnation: Incarnation,
+        clock: Arc<dyn ClockSource>,
+        metrics: Arc<DaemonMetrics>,
+    ) -> Self {
+        let ring = EventRing::new(capacity, incarnation);
+        let state = Mutex::new(RecorderState { hybrid: HybridClock::default(), ring });
+        Self { state, clock, metrics }
+    }
+
+    fn state(&self) -> MutexGuard<'_, RecorderState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records `event` as of now.
+    pub fn record(&self, event: TimelineEvent) {
+        self.metrics.count_event(event.kind);
+        write_line(&event);
+        let now = self.clock.now();
+        let mut state = self.state();
+        let stamp = state.hybrid.tick(now);
+        state.ring.push(TimelineEvent { stamp, ..event });
+    }
+
+    /// Stamp for a message that leaves now.
+    pub fn stamp(&self) -> Stamp {
+        let now = self.clock.now();
+        self.state().hybrid.tick(now)
+    }
+
+    /// Takes note of the stamp of a message that came.
+    pub fn observe(&self, stamp: Stamp) {
+        let now = self.clock.now();
+        self.state().hybrid.observe(stamp, now);
+    }
+
+    /// Events held, for the process `name` of `role`.
+    pub fn timeline(&self, name: &str, role: &str) -> TimelineBody {
+        TimelineBody::new(name, role, &self.state().ring)
+    }
+}
+
+/// Whether an event concerns a single task and is written only at the debug level.
+fn is_detail(kind: EventKind) -> bool {
+    use EventKind as K;
+    matches!(
+        kind,
+        K::JobAdmitted
+            | K::JobComplete
+            | K::ClaimSent
+            | K::ClaimWon
+            | K::TaskSent
+            | K::TaskAsked
+            | K::TaskReturned
+            | K::TaskAnswered
+            | K::AgentQueued
+            | K::AgentStarted
+            | K::AgentFinished
+            | K::AgentRefused
+    )
+}
+
+fn write_line(event: &TimelineEvent) {
+    let name = event.kind.name();
+    let submission = event.submission.map(parsleyspool_core::id::format_id);
+    let subject = event.subject.as_deref();
+    let detail = event.detail.as_str();
+    if is_detail(event.kind) {
+        tracing::debug!(event = name, submission, task = event.task, subject, detail);
+    } else {
+        tracing::info!(event = name, submission, task = event.task, subject, detail);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/check.rs
@@ -0,0 +1,176 @@
+//! Checks of settings beyond their form.
+
+use super::locate::line_of;
+use super::{AgentSettings, EntrySettings};
+use parsleyspool_core::placement::PlacementKind;
+use std::fmt;
+use std::time::Duration;
+
+/// One fault of a settings file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingFault {
+    /// Line, from 1, where it is known.
+    pub line: Option<usize>,
+    /// Dotted path of the key, empty where the reader did not come that far.
+    pub key: String,
+    /// What is wrong.
+    pub text: String,
+}
+
+impl SettingFault {
+    /// Fault found by the YAML reader, which names the line and the key in its text.
+    pub fn of_reader(error: &serde_saphyr::Error) -> Self {
+        let line = error.location().and_then(|at| usize::try_from(at.line()).ok());
+        Self { line, key: String::new(), text: error.to_string() }
+    }
+
+    /// The same fault with its line in `text`.
+    pub fn located(self, text: &str) -> Self {
+        let line = self.line.or_else(|| line_of(text, &self.key));
+        Self { line, ..self }
+    }
+}
+
+impl fmt::Display for SettingFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(line) = self.line {
+            write!(f, "{line}: ")?;
+        }
+        if !self.key.is_empty() {
+            write!(f, "{}: ", self.key)?;
+        }
+        f.write_str(&self.text)
+    }
+}
+
+/// Collects faults.
+#[derive(Debug, Default)]
+struct FaultList {
+    faults: Vec<SettingFault>,
+}
+
+impl FaultList {
+    fn require(&mut self, is_right: bool, key: &str, text: &str) {
+        if !is_right {
+            let fault = SettingFault { line: None, key: key.to_owned(), text: text.to_owned() };
+            self.faults.push(fault);
+        }
+    }
+}
+
+/// Least lease that outlives a read of the log and a heartbeat.
+const LEAST_LEASE: Duration = Duration::from_secs(1);
+/// Longest lease; a domain taken out must be empty of starts within a few seconds.
+const LONGEST_LEASE: Duration = Duration::from_secs(5);
+
+/// Faults of the settings of an entry.
+pub fn entry_faults(settings: &EntrySettings) -> Vec<SettingFault> {
+    let mut list = FaultList::default();
+    let limits = &settings.limits;
+    list.require(!settings.name.is_empty(), "entry.name", "must not be empty");
+    list.require(!settings.domain.is_empty(), "entry.domain", "must not be empty");
+    list.require(
+        settings.listen.callers != settings.listen.peers || settings.listen.callers.port() == 0,
+        "entry.listen.peers",
+        "must differ from entry.listen.callers",
+    );
+    list.require(
+        settings.log.url.starts_with("http://"),
+        "entry.log.url",
+        "must start with http://",
+    );
+    list.require(
+        !settings.peers.contains_key(&settings.name),
+        "entry.peers",
+        "must not name the entry itself",
+    );
+    list.require(
+        (LEAST_LEASE..=LONGEST_LEASE).contains(&limits.lease),
+        "entry.limits.lease",
+        "must be between 1s and 5s",
+    );
+    list.require(
+        settings.log.wait * 2 <= limits.lease,
+        "entry.log.wait",
+        "must be at most half of entry.limits.lease",
+    );
+    list.require(
+        limits.heartbeat * 2 <= limits.silent_after,
+        "entry.limits.heartbeat",
+        "must be at most half of entry.limits.silent_after",
+    );
+    list.require(
+        limits.silent_after < limits.forget_after,
+        "entry.limits.forget_after",
+        "must be longer than entry.limits.silent_after",
+    );
+    list.require(
+        limits.claim_window + limits.longest_deadline < settings.log.retention,
+        "entry.limits.claim_window",
+        "must with entry.limits.longest_deadline be shorter than entry.log.retention",
+    );
+    list.require(
+        (1..=100_000).contains(&limits.tasks_per_job),
+        "entry.limits.tasks_per_job",
+        "must be between 1 and 100000",
+    );
+    list.require(
+        limits.tasks_held >= limits.tasks_per_job,
+        "entry.limits.tasks_held",
+        "must be at least entry.limits.tasks_per_job",
+    );
+    list.require(limits.attempts >= 1, "entry.limits.attempts", "must be at least 1");
+    list.require(limits.sample >= 1, "entry.limits.sample", "must be at least 1");
+    list.require(
+        (0.0..=1.0).contains(&limits.retry_ratio),
+        "entry.limits.retry_ratio",
+        "must be between 0 and 1",
+    );
+    list.require(
+        limits.failure_share > 0.0 && limits.failure_share <= 1.0,
+        "entry.limits.failure_share",
+        "must be above 0 and at most 1",
+    );
+    let names: Vec<&str> = PlacementKind::ALL.iter().map(|(_, name)| *name).collect();
+    list.require(
+        names.contains(&limits.placement.as_str()),
+        "entry.limits.placement",
+        &format!("must be one of {}", names.join(", ")),
+    );
+    list.faults
+}
+
+/// Faults of the settings of an agent.
+pub fn agent_faults(settings: &AgentSettings) -> Vec<SettingFault> {
+    let mut list = FaultList::default();
+    list.require(!settings.name.is_empty(), "agent.name", "must not be empty");
+    list.require(!settings.domain.is_empty(), "agent.domain", "must not be empty");
+    list.require(!settings.worker.is_empty(), "agent.worker", "must not be empty");
+    list.require(!settings.entries.is_empty(), "agent.entries", "must name at least one entry");
+    list.require(
+        settings.backend.url.starts_with("http://"),
+        "agent.backend.url",
+        "must start with http://",
+    );
+    list.require(
+        !settings.backend.services.is_empty(),
+        "agent.backend.services",
+        "must name at least one service",
+    );
+    list.require(
+        (1..=10_000).contains(&settings.backend.slots),
+        "agent.backend.slots",
+        "must be between 1 and 10000",
+    );
+    list.require(
+        settings.backend.connections >= settings.backend.slots as usize,
+        "agent.backend.connections",
+        "must be at least agent.backend.slots",
+    );
+    list.require(
+        settings.limits.outcome_kept > LONGEST_LEASE,
+        "agent.limits.outcome_kept",
+        "must be longer than 5s, the longest lease of an entry",
+    );
+    list.faults
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry.rs
@@ -0,0 +1,4 @@
+//! Logs and metrics.
+
+pub mod logging;
+pub mod metrics;
--- /dev/null
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -0,0 +1,211 @@
+//! Prometheus metrics.
+//!
+//! Labels are bounded: teams come from the configuration, everything else from closed lists. The
+//! table [`METRIC_TABLE`] is what the documentation shows and what a process registers.
+
+use crate::error::DaemonError;
+use error_stack::{Report, ResultExt};
+use parsleyspool_core::entry::EntryGauges;
+use parsleyspool_core::timeline::EventKind;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+use std::time::Duration;
+
+/// One row of the table of metrics.
+#[derive(Debug)]
+pub struct MetricRow {
+    /// Name.
+    pub name: &'static str,
+    /// Kind.
+    pub kind: &'static str,
+    /// Unit.
+    pub unit: &'static str,
+    /// Label, empty where there is none.
+    pub label: &'static str,
+    /// Largest number of label values.
+    pub values: &'static str,
+    /// What it counts.
+    pub help: &'static str,
+}
+
+/// Every metric.
+pub const METRIC_TABLE: [MetricRow; 6] = [
+    MetricRow {
+        name: "parsleyspool_events_total",
+        kind: "counter",
+        unit: "events",
+        label: "event",
+        values: "event kinds",
+        help: "Events of the time line",
+    },
+    MetricRow {
+        name: "parsleyspool_answers_total",
+        kind: "counter",
+        unit: "jobs",
+        label: "kind",
+        values: "error kinds and complete",
+        help: "Answers given to callers",
+    },
+    MetricRow {
+        name: "parsleyspool_team_answers_total",
+        kind: "counter",
+        unit: "jobs",
+        label: "team",
+        values: "configured teams and unknown",
+        help: "Answers given to callers of a team",
+    },
+    MetricRow {
+        name: "parsleyspool_messages_total",
+        kind: "counter",
+        unit: "messages",
+        label: "message",
+        values: "message kinds",
+        help: "Messages sent to other processes and to the log",
+    },
+    MetricRow {
+        name: "parsleyspool_gauge",
+        kind: "gauge",
+        unit: "as named",
+        label: "quantity",
+        values: "quantities",
+        help: "Jobs, tasks, servers, refusals and claims held",
+    },
+    MetricRow {
+        name: "parsleyspool_job_seconds",
+        kind: "histogram",
+        unit: "seconds",
+        label: "",
+        values: "1",
+        help: "Time from the arrival of a job to its whole answer",
+    },
+];
+
+/// Kinds of message that the daemons send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MessageKind {
+    /// Start of a task.
+    Start,
+    /// Question about a start.
+    Ask,
+    /// Cancellation.
+    Cancel,
+    /// Heartbeat.
+    Heartbeat,
+    /// Question to another entry.
+    PeerState,
+    /// Append to the log.
+    Append,
+    /// Read of the log.
+    Read,
+}
+
+impl MessageKind {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Start => "start",
+            Self::Ask => "ask",
+            Self::Cancel => "cancel",
+            Self::Heartbeat => "heartbeat",
+            Self::PeerState => "peer_state",
+            Self::Append => "append",
+            Self::Read => "read",
+        }
+    }
+}
+
+/// Upper bounds of the job time buckets, in seconds.
+const JOB_BUCKETS: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0];
+
+/// Metrics of one process.
+#[derive(Debug)]
+pub struct DaemonMetrics {
+    registry: Registry,
+    events: IntCounterVec,
+    answers: IntCounterVec,
+    team_answers: IntCounterVec,
+    messages: IntCounterVec,
+    gauges: IntGaugeVec,
+    job_seconds: Histogram,
+}
+
+impl DaemonMetrics {
+    /// Metrics registered with a registry of their own.
+    ///
+    /// # Errors
+    /// Fails where a name is registered twice.
+    pub fn new() -> Result<Self, Report<DaemonError>> {
+        Self::register().change_context(DaemonError::Metrics)
+    }
+
+    fn register() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let [events, answers, team_answers, messages, gauges, job_seconds] = &METRIC_TABLE;
+        let counter = |row: &MetricRow| {
+            let vec = IntCounterVec::new(Opts::new(row.name, row.help), &[row.label])?;
+            registry.register(Box::new(vec.clone()))?;
+            Ok::<_, prometheus::Error>(vec)
+        };
+        let (events, answers) = (counter(events)?, counter(answers)?);
+        let (team_answers, messages) = (counter(team_answers)?, counter(messages)?);
+        let gauges = IntGaugeVec::new(Opts::new(gauges.name, gauges.help), &[gauges.label])?;
+        registry.register(Box::new(gauges.clone()))?;
+        let opts = HistogramOpts::new(job_seconds.name, job_seconds.help);
+        let job_seconds = Histogram::with_opts(opts.buckets(JOB_BUCKETS.to_vec()))?;
+        registry.register(Box::new(job_seconds.clone()))?;
+        Ok(Self { registry, events, answers, team_answers, messages, gauges, job_seconds })
+    }
+
+    /// Counts an event of the time line.
+    pub fn count_event(&self, kind: EventKind) {
+        self.events.with_label_values(&[kind.name()]).inc();
+    }
+
+    /// Counts an answer of `kind` to a caller of `team`, `None` where the team is not configured.
+    pub fn count_answer(&self, kind: &str, team: Option<&str>) {
+        self.answers.with_label_values(&[kind]).inc();
+        self.team_answers.with_label_values(&[team.unwrap_or("unknown")]).inc();
+    }
+
+    /// Counts a message.
+    pub fn count_message(&self, kind: MessageKind) {
+        self.messages.with_label_values(&[kind.name()]).inc();
+    }
+
+    /// Takes the time of a job answered whole.
+    pub fn observe_job(&self, took: Duration) {
+        self.job_seconds.observe(took.as_secs_f64());
+    }
+
+    /// Takes the present figures of an entry.
+    pub fn set_gauges(&self, gauges: EntryGauges) {
+        let rows = [
+            ("jobs", gauges.jobs as u64),
+            ("tasks_queued", gauges.queued as u64),
+            ("tasks_held", gauges.held as u64),
+            ("servers", gauges.servers as u64),
+            ("refusals_waiting", gauges.refusals_waiting as u64),
+            ("refusals_dropped", gauges.refusals_dropped),
+            ("claims", gauges.claims as u64),
+        ];
+        for (quantity, value) in rows {
+            self.set_gauge(quantity, value);
+        }
+    }
+
+    /// Takes one present figure.
+    pub fn set_gauge(&self, quantity: &str, value: u64) {
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        self.gauges.with_label_values(&[quantity]).set(value);
+    }
+
+    /// Metrics in the text format of Prometheus.
+    pub fn render(&self) -> String {
+        let mut buffer = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
+            tracing::warn!(event = "metrics_unreadable", %error);
+        }
+        String::from_utf8(buffer).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/standins/src/cmd/run.rs
@@ -0,0 +1,124 @@
+//! `parsleyspool-standins run`.
+
+use clap::Args;
+use error_stack::{Report, ResultExt};
+use futures_util::future::join_all;
+use hdrhistogram::Histogram;
+use parsleyspool_standins::embedded::{EmbeddedShape, EmbeddedSystem};
+use parsleyspool_standins::error::StandinError;
+use parsleyspool_standins::jobs::JobFile;
+use parsleyspool_wire::caller::{AnswerBody, ErrorBody, SubmitBody};
+use std::path::PathBuf;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Arguments of `run`.
+#[derive(Debug, Args)]
+pub struct RunArgs {
+    /// Job file to dispatch.
+    #[arg(default_value = "examples/jobs.yaml")]
+    file: PathBuf,
+}
+
+enum JobOutcome {
+    Whole(AnswerBody),
+    Refused(ErrorBody),
+    Unreadable(u16),
+}
+
+struct JobResult {
+    job: String,
+    tasks: usize,
+    took: Duration,
+    outcome: JobOutcome,
+}
+
+impl RunArgs {
+    /// Starts all roles, dispatches the file, prints answers and figures.
+    pub async fn run(self) -> Result<(), Report<StandinError>> {
+        let file = JobFile::load(&self.file)?;
+        let system = EmbeddedSystem::start(&EmbeddedShape::small(file.services())).await?;
+        for change in file.changes {
+            let outcome = system.change(change, 0).await?;
+            println!("change {outcome:?}");
+        }
+        system.wait_ready(system.agents.len()).await?;
+        let started = Instant::now();
+        let jobs = file.jobs.into_iter().map(|job| submit(&system, job));
+        let results: Result<Vec<_>, _> = join_all(jobs).await.into_iter().collect();
+        let results = results?;
+        let took = started.elapsed();
+        for result in &results {
+            print_result(result);
+        }
+        print_figures(&results, took);
+        system.shut_down();
+        Ok(())
+    }
+}
+
+async fn submit(
+    system: &EmbeddedSystem,
+    mut job: SubmitBody,
+) -> Result<JobResult, Report<StandinError>> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    job.created_at_ms.get_or_insert(u64::try_from(now.as_millis()).unwrap_or(u64::MAX));
+    let started = Instant::now();
+    let request = system.client().post(system.caller_url(0)).json(&job);
+    let response = request.send().await.change_context(StandinError::Request)?;
+    let status = response.status();
+    let body = response.bytes().await.change_context(StandinError::Request)?;
+    let outcome = if status.is_success() {
+        JobOutcome::Whole(serde_json::from_slice(&body).change_context(StandinError::Request)?)
+    } else {
+        let refused = serde_json::from_slice(&body).map(JobOutcome::Refused);
+        refused.unwrap_or(JobOutcome::Unreadable(status.as_u16()))
+    };
+    Ok(JobResult { job: job.job, tasks: job.tasks.len(), took: started.elapsed(), outcome })
+}
+
+fn print_result(result: &JobResult) {
+    let took = result.took.as_millis();
+    match &result.outcome {
+        JobOutcome::Whole(body) => {
+            println!("job={} outcome=complete tasks={} took_ms={took}", result.job, result.tasks);
+            for (index, answer) in body.answers.iter().enumerate().take(SHOWN_ANSWERS) {
+                println!("  task={index} answer={answer:?}");
+            }
+            if body.answers.len() > SHOWN_ANSWERS {
+                println!("  and {} more answers", body.answers.len() - SHOWN_ANSWERS);
+            }
+        }
+        JobOutcome::Refused(body) => println!(
+            "job={} outcome={} not_run={} limit={} allowed={} actual={} took_ms={took}",
+            result.job, body.kind, body.not_run, body.limit, body.allowed, body.actual
+        ),
+        JobOutcome::Unreadable(status) => {
+            println!("job={} outcome=unreadable status={status}", result.job);
+        }
+    }
+}
+
+/// Answers of a job that are printed.
+const SHOWN_ANSWERS: usize = 3;
+/// Percentiles that are printed.
+const PERCENTILES: [f64; 3] = [50.0, 90.0, 99.0];
+
+fn print_figures(results: &[JobResult], took: Duration) {
+    let is_whole = |result: &&JobResult| matches!(result.outcome, JobOutcome::Whole(_));
+    let whole: Vec<&JobResult> = results.iter().filter(is_whole).collect();
+    let tasks: usize = whole.iter().map(|result| result.tasks).sum();
+    println!(
+        "figures jobs={} complete={} tasks={tasks} took_ms={}",
+        results.len(),
+        whole.len(),
+        took.as_millis()
+    );
+    let Ok(mut histogram) = Histogram::<u64>::new(3) else { return };
+    for result in &whole {
+        let _ = histogram.record(u64::try_from(result.took.as_micros()).unwrap_or(u64::MAX));
+    }
+    for percentile in PERCENTILES {
+        let value = histogram.value_at_percentile(percentile);
+        println!("figures percentile={percentile} job_ms={:.1}", value as f64 / 1000.0);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/log/server.rs
@@ -0,0 +1,69 @@
+//! The log stand-in over HTTP.
+
+use super::{LogFaults, LogStreams};
+use bytes::Bytes;
+use parsleyspool_daemon::http::{HttpReply, fault, json, recover, reply};
+use parsleyspool_wire::codec::{MAX_RECORD_BYTES, encode};
+use parsleyspool_wire::platform::{AppendReply, ReadQuery, ReadReply, RecordWire};
+use serde::Serialize;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use warp::Filter;
+use warp::http::StatusCode;
+
+/// Longest wait of one read.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// Serves `streams` until the task is ended.
+pub async fn serve(listener: TcpListener, streams: Arc<LogStreams>) {
+    let appending = streams.clone();
+    let append = warp::path!("streams" / String / "records")
+        .and(warp::post())
+        .and(warp::body::content_length_limit(MAX_RECORD_BYTES as u64))
+        .and(warp::body::bytes())
+        .then(move |stream, body| append(stream, body, appending.clone()));
+    let reading = streams.clone();
+    let read = warp::path!("streams" / String / "records")
+        .and(warp::get())
+        .and(warp::query())
+        .then(move |stream, query| read(stream, query, reading.clone()));
+    let faults = warp::path!("faults").and(warp::put()).and(warp::body::json()).map(
+        move |faults: LogFaults| {
+            streams.set_faults(faults);
+            json(StatusCode::OK, &faults)
+        },
+    );
+    let routes = append.or(read).unify().or(faults).unify().recover(recover);
+    warp::serve(routes).incoming(listener).run().await;
+}
+
+async fn append(stream: String, body: Bytes, streams: Arc<LogStreams>) -> HttpReply {
+    match streams.append(&stream, body).await {
+        Ok(offset) => packed(&AppendReply { offset }),
+        Err(text) => fault(StatusCode::SERVICE_UNAVAILABLE, text),
+    }
+}
+
+async fn read(stream: String, query: ReadQuery, streams: Arc<LogStreams>) -> HttpReply {
+    let wait = Duration::from_millis(query.wait_ms).min(MAX_WAIT);
+    match streams.read(&stream, query.from, query.limit, wait).await {
+        Ok(page) => {
+            let records = page.records.into_iter();
+            let records = records.map(|(offset, data)| RecordWire { offset, data });
+            packed(&ReadReply {
+                earliest: page.earliest,
+                end: page.end,
+                records: records.collect(),
+            })
+        }
+        Err(text) => fault(StatusCode::SERVICE_UNAVAILABLE, text),
+    }
+}
+
+fn packed<T: Serialize>(value: &T) -> HttpReply {
+    match encode(value) {
+        Ok(bytes) => reply(StatusCode::OK, "application/msgpack", bytes),
+        Err(error) => fault(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/wire/src/operator.rs
@@ -0,0 +1,184 @@
+//! JSON between the command line and the daemons.
+
+use parsleyspool_core::id::format_id;
+use parsleyspool_core::time::Stamp;
+use parsleyspool_core::timeline::{EventRing, TimelineEvent};
+use serde::{Deserialize, Serialize};
+
+use crate::settings::{ChangeRecordWire, ConfigurationWire};
+
+/// Order to make a change.
+pub type ChangeBody = ChangeRecordWire;
+
+/// What became of a change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "outcome")]
+pub enum ChangeOutcomeBody {
+    /// In the log, and applied by a majority of the voting entries.
+    Accepted {
+        /// Version from which it is in force.
+        version: u64,
+    },
+    /// Another change of the same subject came first.
+    Rejected {
+        /// Version of the subject in force.
+        current: u64,
+    },
+    /// In the log, and not yet applied by a majority of the voting entries.
+    Unconfirmed {
+        /// Version from which it will be in force.
+        version: u64,
+    },
+    /// The log did not confirm it; it may still come into force. The same id may be sent again.
+    Unknown,
+}
+
+/// Configuration with its state at the answering entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ConfigBody {
+    /// Name of the answering entry.
+    pub entry: String,
+    /// Whether the entry can confirm that it is in force: `confirmed`, `agreed` or `lapsed`.
+    pub freshness: String,
+    /// Configuration.
+    pub configuration: ConfigurationWire,
+}
+
+/// One process as the answering entry knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProcessBody {
+    /// Name.
+    pub name: String,
+    /// `entry` or `agent`.
+    pub role: String,
+    /// Address of its peer and operator listener.
+    pub address: String,
+    /// Failure domain, empty where unknown.
+    pub domain: String,
+    /// Worker, empty where unknown.
+    pub worker: String,
+    /// State in words.
+    pub state: String,
+    /// Configuration version that it confirmed last.
+    pub version: u64,
+    /// Time since it was heard from, in milliseconds.
+    pub heard_ms: u64,
+    /// Slots taken.
+    pub load: u32,
+    /// Slots.
+    pub slots: u32,
+}
+
+/// State of a process and of those that it knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatusBody {
+    /// Name.
+    pub name: String,
+    /// `entry` or `agent`.
+    pub role: String,
+    /// Life of the daemon: `starting`, `serving`, `draining` or `stopped`.
+    pub life: String,
+    /// Configuration version.
+    pub version: u64,
+    /// Evidence for it: `confirmed`, `agreed` or `lapsed`.
+    pub freshness: String,
+    /// Jobs not yet answered.
+    pub jobs: usize,
+    /// Tasks queued.
+    pub queued: usize,
+    /// Processes that it knows, itself included.
+    pub processes: Vec<ProcessBody>,
+}
+
+/// One event of a time line.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EventBody {
+    /// Wall clock part of the stamp, in microseconds.
+    pub wall_us: u64,
+    /// Counter part of the stamp.
+    pub count: u32,
+    /// Kind in words.
+    pub event: String,
+    /// Submission.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub submission: Option<String>,
+    /// Task.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub task: Option<u32>,
+    /// Server, failure domain or worker.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub subject: Option<String>,
+    /// Further figures.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub detail: String,
+}
+
+impl From<&TimelineEvent> for EventBody {
+    fn from(event: &TimelineEvent) -> Self {
+        Self {
+            wall_us: event.stamp.wall_us,
+            count: event.stamp.count,
+            event: event.kind.name().to_owned(),
+            submission: event.submission.map(format_id),
+            task: event.task,
+            subject: event.subject.as_ref().map(ToString::to_string),
+            detail: event.detail.clone(),
+        }
+    }
+}
+
+impl EventBody {
+    /// Place in the order over all processes.
+    pub fn stamp(&self) -> Stamp {
+        Stamp { wall_us: self.wall_us, count: self.count }
+    }
+}
+
+/// Events of one process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TimelineBody {
+    /// Name of the process.
+    pub process: String,
+    /// `entry` or `agent`.
+    pub role: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Worker.
+    pub worker: String,
+    /// Incarnation, hexadecimal.
+    pub incarnation: String,
+    /// Events dropped because the ring turned over.
+    pub dropped: u64,
+    /// Events from the oldest to the latest.
+    pub events: Vec<EventBody>,
+}
+
+impl TimelineBody {
+    /// Body of `ring`; the caller fills in who the process is.
+    pub fn new(process: &str, role: &str, ring: &EventRing) -> Self {
+        Self {
+            process: process.to_owned(),
+            role: role.to_owned(),
+            domain: String::new(),
+            worker: String::new(),
+            incarnation: format_id(ring.incarnation().into()),
+            dropped: ring.dropped(),
+            events: ring.events().map(Into::into).collect(),
+        }
+    }
+}
+
+/// Filter of log levels, in the syntax of `tracing-subscriber`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LogLevelBody {
+    /// Filter, as in `info,parsleyspool_daemon=debug`.
+    pub filter: String,
+}
+
+/// Error of an operator's request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperatorErrorBody {
+    /// What could not be done.
+    pub error: String,
+}
--- /dev/null
+++ b/crates/wire/src/settings.rs
@@ -0,0 +1,345 @@
+//! Configuration as operators and questionnaires write it, in YAML and JSON.
+
+use parsleyspool_core::config::{
+    ChangeRecord, ConfigChange, ConfigSubject, Configuration, DomainOrder, RequestRule,
+    ServiceSpec, TeamQuota,
+};
+use parsleyspool_core::id::{format_id, parse_id};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Declaration of one kind of request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RequestWire {
+    /// Whether a second run has no further effect.
+    pub idempotent: bool,
+    /// Declared run time at pace 1.
+    #[serde(with = "humantime_serde")]
+    pub run_time: Duration,
+    /// Slots that one task takes.
+    #[serde(default = "one")]
+    pub slots: u32,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// Declaration of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceWire {
+    /// Team that owns the service.
+    pub team: String,
+    /// Time for an answer where the caller states none.
+    #[serde(with = "humantime_serde")]
+    pub deadline: Duration,
+    /// Kinds of request by name.
+    pub requests: BTreeMap<String, RequestWire>,
+}
+
+/// Limits of a team.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct QuotaWire {
+    /// Most tasks accepted and not yet answered, over all entries.
+    pub tasks_in_flight: u32,
+    /// Weight where several teams wait for the same slots.
+    #[serde(default = "one")]
+    pub weight: u32,
+}
+
+/// Order about a failure domain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderWire {
+    /// It takes work.
+    InService,
+    /// It starts nothing.
+    OutOfService,
+}
+
+/// One change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum ChangeWire {
+    /// Creates or replaces a service.
+    PutService {
+        /// Name.
+        name: String,
+        /// Declaration.
+        spec: ServiceWire,
+    },
+    /// Removes a service.
+    RemoveService {
+        /// Name.
+        name: String,
+    },
+    /// Sets the limits of a team.
+    SetQuota {
+        /// Name of the team.
+        team: String,
+        /// Limits.
+        quota: QuotaWire,
+    },
+    /// Takes a failure domain out or brings it back.
+    OrderDomain {
+        /// Name.
+        domain: String,
+        /// Order.
+        order: OrderWire,
+    },
+    /// Makes a backend server leave.
+    LeaveServer {
+        /// Name.
+        server: String,
+    },
+    /// Lets a backend server take work again.
+    RejoinServer {
+        /// Name.
+        server: String,
+    },
+    /// Names the voting entries.
+    SetElectorate {
+        /// Names.
+        entries: BTreeSet<String>,
+    },
+}
+
+/// Change with its author and the version that the author saw.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChangeRecordWire {
+    /// Id, 32 hexadecimal digits.
+    pub id: String,
+    /// Who made the change.
+    pub operator: String,
+    /// Version of the subject that the operator saw.
+    pub base: u64,
+    /// The change.
+    pub change: ChangeWire,
+}
+
+/// Configuration at one version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
+pub struct ConfigurationWire {
+    /// Version.
+    pub version: u64,
+    /// Services by name.
+    pub services: BTreeMap<String, ServiceWire>,
+    /// Quotas by team.
+    pub quotas: BTreeMap<String, QuotaWire>,
+    /// Failure domains that operators named.
+    pub domains: BTreeMap<String, OrderWire>,
+    /// Backend servers told to leave.
+    pub leaving: BTreeSet<String>,
+    /// Voting entries.
+    pub electorate: BTreeSet<String>,
+    /// Version at which each subject last changed, by `kind/name`.
+    pub subjects: BTreeMap<String, u64>,
+}
+
+impl From<RequestWire> for RequestRule {
+    fn from(wire: RequestWire) -> Self {
+        Self { idempotent: wire.idempotent, run_time: wire.run_time, slots: wire.slots.max(1) }
+    }
+}
+
+impl From<&RequestRule> for RequestWire {
+    fn from(rule: &RequestRule) -> Self {
+        Self { idempotent: rule.idempotent, run_time: rule.run_time, slots: rule.slots }
+    }
+}
+
+impl From<ServiceWire> for ServiceSpec {
+    fn from(wire: ServiceWire) -> Self {
+        let requests = wire.requests.into_iter();
+        Self {
+            team: wire.team.into(),
+            deadline: wire.deadline,
+            requests: requests.map(|(name, rule)| (name.into(), rule.into())).collect(),
+        }
+    }
+}
+
+impl From<&ServiceSpec> for ServiceWire {
+    fn from(spec: &ServiceSpec) -> Self {
+        let requests = spec.requests.iter();
+        Self {
+            team: spec.team.to_string(),
+            deadline: spec.deadline,
+            requests: requests.map(|(name, rule)| (name.to_string(), rule.into())).collect(),
+        }
+    }
+}
+
+impl From<QuotaWire> for TeamQuota {
+    fn from(wire: QuotaWire) -> Self {
+        Self { tasks_in_flight: wire.tasks_in_flight, weight: wire.weight.max(1) }
+    }
+}
+
+impl From<&TeamQuota> for QuotaWire {
+    fn from(quota: &TeamQuota) -> Self {
+        Self { tasks_in_flight: quota.tasks_in_flight, weight: quota.weight }
+    }
+}
+
+impl From<OrderWire> for DomainOrder {
+    fn from(wire: OrderWire) -> Self {
+        match wire {
+            OrderWire::InService => Self::InService,
+            OrderWire::OutOfService => Self::OutOfService,
+        }
+    }
+}
+
+impl From<DomainOrder> for OrderWire {
+    fn from(order: DomainOrder) -> Self {
+        match order {
+            DomainOrder::InService => Self::InService,
+            DomainOrder::OutOfService => Self::OutOfService,
+        }
+    }
+}
+
+impl From<ChangeWire> for ConfigChange {
+    fn from(wire: ChangeWire) -> Self {
+        match wire {
+            ChangeWire::PutService { name, spec } => {
+                Self::PutService { name: name.into(), spec: spec.into() }
+            }
+            ChangeWire::RemoveService { name } => Self::RemoveService { name: name.into() },
+            ChangeWire::SetQuota { team, quota } => {
+                Self::SetQuota { team: team.into(), quota: quota.into() }
+            }
+            ChangeWire::OrderDomain { domain, order } => {
+                Self::OrderDomain { domain: domain.into(), order: order.into() }
+            }
+            ChangeWire::LeaveServer { server } => Self::LeaveServer { server: server.into() },
+            ChangeWire::RejoinServer { server } => Self::RejoinServer { server: server.into() },
+            ChangeWire::SetElectorate { entries } => {
+                Self::SetElectorate { entries: entries.into_iter().map(Into::into).collect() }
+            }
+        }
+    }
+}
+
+impl From<&ConfigChange> for ChangeWire {
+    fn from(change: &ConfigChange) -> Self {
+        match change {
+            ConfigChange::PutService { name, spec } => {
+                Self::PutService { name: name.to_string(), spec: spec.into() }
+            }
+            ConfigChange::RemoveService { name } => Self::RemoveService { name: name.to_string() },
+            ConfigChange::SetQuota { team, quota } => {
+                Self::SetQuota { team: team.to_string(), quota: quota.into() }
+            }
+            ConfigChange::OrderDomain { domain, order } => {
+                Self::OrderDomain { domain: domain.to_string(), order: (*order).into() }
+            }
+            ConfigChange::LeaveServer { server } => {
+                Self::LeaveServer { server: server.to_string() }
+            }
+            ConfigChange::RejoinServer { server } => {
+                Self::RejoinServer { server: server.to_string() }
+            }
+            ConfigChange::SetElectorate { entries } => {
+                Self::SetElectorate { entries: entries.iter().map(ToString::to_string).collect() }
+            }
+        }
+    }
+}
+
+/// Identifier or subject that could not be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BadIdentifier(pub String);
+
+impl std::fmt::Display for BadIdentifier {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "could not read the identifier {:?}", self.0)
+    }
+}
+
+impl std::error::Error for BadIdentifier {}
+
+impl TryFrom<ChangeRecordWire> for ChangeRecord {
+    type Error = BadIdentifier;
+
+    fn try_from(wire: ChangeRecordWire) -> Result<Self, BadIdentifier> {
+        let id = parse_id(&wire.id).ok_or(BadIdentifier(wire.id))?;
+        Ok(Self { id, operator: wire.operator, base: wire.base, change: wire.change.into() })
+    }
+}
+
+impl From<&ChangeRecord> for ChangeRecordWire {
+    fn from(record: &ChangeRecord) -> Self {
+        Self {
+            id: format_id(record.id),
+            operator: record.operator.clone(),
+            base: record.base,
+            change: (&record.change).into(),
+        }
+    }
+}
+
+/// Subject from its `kind/name` form.
+///
+/// # Errors
+/// Fails where the kind is unknown.
+pub fn parse_subject(text: &str) -> Result<ConfigSubject, BadIdentifier> {
+    let bad = || BadIdentifier(text.to_owned());
+    if text == "electorate" {
+        return Ok(ConfigSubject::Electorate);
+    }
+    let (kind, name) = text.split_once('/').ok_or_else(bad)?;
+    match kind {
+        "service" => Ok(ConfigSubject::Service(name.into())),
+        "team" => Ok(ConfigSubject::Team(name.into())),
+        "domain" => Ok(ConfigSubject::Domain(name.into())),
+        "server" => Ok(ConfigSubject::Server(name.into())),
+        _ => Err(bad()),
+    }
+}
+
+impl From<&Configuration> for ConfigurationWire {
+    fn from(configuration: &Configuration) -> Self {
+        let services = configuration.services.iter();
+        let quotas = configuration.quotas.iter();
+        let domains = configuration.domains.iter();
+        let subjects = configuration.subjects.iter();
+        Self {
+            version: configuration.version,
+            services: services.map(|(name, spec)| (name.to_string(), spec.into())).collect(),
+            quotas: quotas.map(|(team, quota)| (team.to_string(), quota.into())).collect(),
+            domains: domains.map(|(name, order)| (name.to_string(), (*order).into())).collect(),
+            leaving: configuration.leaving.iter().map(ToString::to_string).collect(),
+            electorate: configuration.electorate.iter().map(ToString::to_string).collect(),
+            subjects: subjects.map(|(subject, at)| (subject.to_string(), *at)).collect(),
+        }
+    }
+}
+
+impl TryFrom<ConfigurationWire> for Configuration {
+    type Error = BadIdentifier;
+
+    fn try_from(wire: ConfigurationWire) -> Result<Self, BadIdentifier> {
+        let subjects = wire.subjects.iter();
+        let subjects: Result<_, BadIdentifier> =
+            subjects.map(|(text, at)| Ok((parse_subject(text)?, *at))).collect();
+        let services = wire.services.into_iter();
+        let quotas = wire.quotas.into_iter();
+        let domains = wire.domains.into_iter();
+        Ok(Self {
+            version: wire.version,
+            services: services.map(|(name, spec)| (name.into(), spec.into())).collect(),
+            quotas: quotas.map(|(team, quota)| (team.into(), quota.into())).collect(),
+            domains: domains.map(|(name, order)| (name.into(), order.into())).collect(),
+            leaving: wire.leaving.into_iter().map(Into::into).collect(),
+            electorate: wire.electorate.into_iter().map(Into::into).collect(),
+            subjects: subjects?,
+        })
+    }
+}
