--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -149,7 +149,7 @@
             self.in_flight = Some(InFlight::Opened);
             return Some(AccountStep::Opened);
         }
-        if let Some(last) = self.records.iter().take(self.batch).last() {
+        if let Some(last) = self.records.iter().take(self.batch).next_back() {
             self.in_flight = Some(InFlight::Through(last.sequence));
             let records = self.records.iter().take(self.batch).cloned().collect();
             return Some(AccountStep::Batch(RefusalBatch { records }));
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -4,7 +4,8 @@
     AccountSubject, BrokenReach, EntryAction, EntryMachine, KeptAnswer, LoadReport,
     NotStartedReason, TaskReply,
 };
-use crate::claim::ClaimStep;
+use crate::claim::{ClaimKey, ClaimStep};
+use crate::directory::ServerRecord;
 use crate::error::{ErrorKind, RefusalFigures};
 use crate::id::{Incarnation, SubmissionId, TaskId};
 use crate::job::{HeldJob, JobAnswer};
@@ -52,7 +53,7 @@
         }
         match reply {
             TaskReply::Done { answer, run_time } => {
-                self.finish_task(id, index, answer, run_time, now)
+                self.finish_task(id, index, answer, run_time, now);
             }
             TaskReply::Failed { run_time } => self.fault_task(id, index, run_time, now),
             TaskReply::NotStarted(reason) => {
@@ -107,10 +108,10 @@
             self.asks.remove(&(at, id));
         }
         let Some((_, addressed)) = server else { return };
-        if let Some(record) = self.directory.get_mut(index) {
-            if record.incarnation() == addressed {
-                record.settle(slots);
-            }
+        if let Some(record) = self.directory.get_mut(index)
+            && record.incarnation() == addressed
+        {
+            record.settle(slots);
         }
     }
 
@@ -179,7 +180,7 @@
 
     /// Every task that an incarnation had is lost with it.
     pub(super) fn lose_incarnation(&mut self, index: usize, now: Moment) {
-        let present = self.directory.get(index).map(|server| server.incarnation());
+        let present = self.directory.get(index).map(ServerRecord::incarnation);
         let is_lost = |job: &HeldJob| {
             let lost = |server: Option<(usize, Incarnation)>| {
                 server.is_some_and(|(at, was)| at == index && Some(was) != present)
@@ -297,7 +298,7 @@
 
     fn keep_answer(
         &mut self,
-        key: crate::claim::ClaimKey,
+        key: ClaimKey,
         submission: SubmissionId,
         answer: JobAnswer,
         now: Moment,
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -1,6 +1,6 @@
 //! The agent daemon, beside each backend server.
 //!
-//! One actor owns the [`AgentMachine`](parsleyspool_core::agent::AgentMachine). Starts and
+//! One actor owns the [`AgentMachine`]. Starts and
 //! questions come from entries over HTTP; heartbeats go to every entry known.
 
 mod actor;
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -1,6 +1,6 @@
 //! The entry daemon.
 //!
-//! One actor owns the [`EntryMachine`](parsleyspool_core::entry::EntryMachine). Callers, agents,
+//! One actor owns the [`EntryMachine`]. Callers, agents,
 //! operators, other entries and the streams of the log reach it as messages; what it decides is
 //! carried out by tasks that report back as messages.
 
