--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -12,130 +12,19 @@
 //! is longer ago than outcomes are kept, the agent cannot tell a start never received from one
 //! forgotten, and says that the outcome is lost.
 
+mod event;
+mod memory;
+
+pub use event::{AgentAction, AgentEvent, AgentLimits, RunResult};
+
 use crate::entry::{AgentDirective, LoadReport, NotStartedReason, StartOrder, TaskReply};
 use crate::id::{EntryName, Incarnation, TaskId, Version};
 use crate::time::Moment;
-use crate::timeline::{EventKind, TimelineEvent};
-use bytes::Bytes;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use crate::timeline::{EventFigure, EventKind, RunWord, TimelineEvent, micros};
+use memory::OutcomeMemory;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-/// Limits of an agent; all come from its settings.
-#[derive(Debug, Clone)]
-pub struct AgentLimits {
-    /// Slots of the backend server.
-    pub slots: u32,
-    /// Slots of tasks that may wait here.
-    pub queue: u32,
-    /// How long the outcome of a task is kept for a question; longer than any permit.
-    pub outcome_kept: Duration,
-    /// Outcomes kept at most; no start is taken beyond.
-    pub outcomes_kept: usize,
-    /// Bytes of answers kept at most; the oldest are dropped first.
-    pub answer_bytes: usize,
-}
-
-impl Default for AgentLimits {
-    fn default() -> Self {
-        Self {
-            slots: 8,
-            queue: 8,
-            outcome_kept: Duration::from_secs(10),
-            outcomes_kept: 100_000,
-            answer_bytes: 16 << 20,
-        }
-    }
-}
-
-/// How a run at the backend server ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum RunResult {
-    /// It answered.
-    Answered(Bytes),
-    /// It failed the task, or the exchange broke after the task may have reached it.
-    Failed,
-    /// It took no connection, so the task did not start.
-    NoConnection,
-}
-
-/// What reaches an agent.
-#[derive(Debug)]
-pub enum AgentEvent {
-    /// An entry sends a start.
-    Start {
-        /// Name of the entry.
-        entry: EntryName,
-        /// The start.
-        order: StartOrder,
-    },
-    /// An entry asks what became of a start.
-    Ask {
-        /// Name of the entry.
-        entry: EntryName,
-        /// Task.
-        task: TaskId,
-        /// Number of the start.
-        attempt: u32,
-        /// Incarnation that the start addressed.
-        incarnation: Incarnation,
-        /// Own clock, surely not later than the sending of the start.
-        sent_at: Duration,
-    },
-    /// An entry no longer wants a task.
-    Cancel {
-        /// Task.
-        task: TaskId,
-    },
-    /// A run ended.
-    Finished {
-        /// Task.
-        task: TaskId,
-        /// How it ended.
-        result: RunResult,
-    },
-    /// An entry answered a heartbeat that was sent at `sent`.
-    Directive {
-        /// Instruction.
-        directive: AgentDirective,
-        /// When the heartbeat was sent, on the own clock.
-        sent: Duration,
-    },
-    /// Time passed.
-    Tick,
-    /// A planned stop begins.
-    Drain,
-}
-
-/// What the daemon is to do.
-#[derive(Debug, Clone, PartialEq)]
-pub enum AgentAction {
-    /// Send a task to the backend server.
-    Run(StartOrder),
-    /// Reply to the sender of the present event, and to nobody else.
-    Respond {
-        /// What to say.
-        reply: TaskReply,
-        /// Load to send along.
-        load: LoadReport,
-    },
-    /// Reply to everyone who waits for this task.
-    Reply {
-        /// Task.
-        task: TaskId,
-        /// What to say.
-        reply: TaskReply,
-        /// Load to send along.
-        load: LoadReport,
-    },
-    /// Let whoever asked wait for the outcome.
-    Wait {
-        /// Task.
-        task: TaskId,
-    },
-    /// Keep an event for the time line.
-    Note(TimelineEvent),
-}
-
 #[derive(Debug)]
 struct HeldStart {
     entry: EntryName,
@@ -143,22 +32,6 @@
     started: Option<Duration>,
 }
 
-#[derive(Debug)]
-struct KeptOutcome {
-    attempt: u32,
-    reply: TaskReply,
-    until: Duration,
-}
-
-impl KeptOutcome {
-    fn bytes(&self) -> usize {
-        match &self.reply {
-            TaskReply::Done { answer, .. } => answer.len(),
-            _ => 0,
-        }
-    }
-}
-
 /// Start that a question is about.
 #[derive(Debug, Clone, Copy)]
 struct AskedStart {
@@ -188,10 +61,7 @@
     running: u32,
     queued: u32,
     by_entry: HashMap<EntryName, u32>,
-    outcomes: HashMap<TaskId, KeptOutcome>,
-    outcome_order: BTreeSet<(Duration, TaskId)>,
-    answer_order: VecDeque<TaskId>,
-    answer_bytes: usize,
+    memory: OutcomeMemory,
     is_draining: bool,
     actions: Vec<AgentAction>,
 }
@@ -201,7 +71,6 @@
     pub fn new(incarnation: Incarnation, limits: AgentLimits) -> Self {
         Self {
             incarnation,
-            limits,
             known: KnownOrder {
                 version: 0,
                 is_in_service: true,
@@ -213,12 +82,10 @@
             running: 0,
             queued: 0,
             by_entry: HashMap::new(),
-            outcomes: HashMap::new(),
-            outcome_order: BTreeSet::new(),
-            answer_order: VecDeque::new(),
-            answer_bytes: 0,
+            memory: OutcomeMemory::new(&limits),
             is_draining: false,
             actions: Vec::new(),
+            limits,
         }
     }
 
@@ -298,7 +165,7 @@
     ///
     /// A start that was given back may be sent here again under a higher attempt.
     fn settled(&self, order: &StartOrder) -> Option<TaskReply> {
-        let kept = self.outcomes.get(&order.task)?;
+        let kept = self.memory.get(order.task)?;
         let is_given_back = matches!(kept.reply, TaskReply::NotStarted(_));
         let is_later = order.attempt > kept.attempt;
         (!(is_given_back && is_later)).then(|| kept.reply.clone())
@@ -316,13 +183,13 @@
         let room = self.limits.slots + self.limits.queue;
         let is_full = self.running + self.queued + order.slots > room
             || order.slots > self.limits.slots
-            || self.outcomes.len() >= self.limits.outcomes_kept;
+            || self.memory.is_full();
         is_full.then_some(NotStartedReason::Full)
     }
 
     fn hold(&mut self, entry: EntryName, order: StartOrder, now: Moment) {
         let task = order.task;
-        self.forget(task);
+        self.memory.forget(task);
         self.queued += order.slots;
         *self.by_entry.entry(entry.clone()).or_insert(0) += order.slots;
         self.held.insert(task, HeldStart { entry, order, started: None });
@@ -330,7 +197,7 @@
         self.actions.push(AgentAction::Wait { task });
         self.run_next(now);
         if self.held.get(&task).is_some_and(|held| held.started.is_none()) {
-            self.note(EventKind::AgentQueued, task, String::new());
+            self.note(EventKind::AgentQueued, task, &[]);
         }
     }
 
@@ -355,7 +222,7 @@
     }
 
     fn refuse(&mut self, task: TaskId, entry: &str, reason: NotStartedReason) {
-        self.note(EventKind::AgentRefused, task, format!("why={}", reason.name()));
+        self.note(EventKind::AgentRefused, task, &[EventFigure::Why(reason)]);
         let (reply, load) = (TaskReply::NotStarted(reason), self.load_for(entry));
         self.actions.push(AgentAction::Respond { reply, load });
     }
@@ -381,8 +248,8 @@
             }
             self.queued -= order.slots;
             self.running += order.slots;
-            let detail = format!("version={}", self.known.version.max(order.version));
-            self.note(EventKind::AgentStarted, task, detail);
+            let version = EventFigure::Version(self.known.version.max(order.version));
+            self.note(EventKind::AgentStarted, task, &[version]);
             self.actions.push(AgentAction::Run(order));
         }
     }
@@ -392,7 +259,7 @@
         let Some(held) = self.held.remove(&task) else { return };
         self.queued -= held.order.slots;
         self.leave(&held);
-        self.note(EventKind::AgentRefused, task, format!("why={}", reason.name()));
+        self.note(EventKind::AgentRefused, task, &[EventFigure::Why(reason)]);
         self.settle(&held, TaskReply::NotStarted(reason), now);
     }
 
@@ -411,14 +278,16 @@
         self.leave(&held);
         let run_time = now.elapsed.saturating_sub(held.started.unwrap_or(now.elapsed));
         let (reply, word) = match result {
-            RunResult::Answered(answer) => (TaskReply::Done { answer, run_time }, "answered"),
-            RunResult::Failed => (TaskReply::Failed { run_time }, "failed"),
+            RunResult::Answered(answer) => {
+                (TaskReply::Done { answer, run_time }, RunWord::Answered)
+            }
+            RunResult::Failed => (TaskReply::Failed { run_time }, RunWord::Failed),
             RunResult::NoConnection => {
-                (TaskReply::NotStarted(NotStartedReason::NoConnection), "no_connection")
+                (TaskReply::NotStarted(NotStartedReason::NoConnection), RunWord::NoConnection)
             }
         };
-        let detail = format!("result={word} run_time_us={}", run_time.as_micros());
-        self.note(EventKind::AgentFinished, task, detail);
+        let figures = [EventFigure::Result(word), EventFigure::RunTimeUs(micros(run_time))];
+        self.note(EventKind::AgentFinished, task, &figures);
         self.settle(&held, reply, now);
         self.run_next(now);
     }
@@ -426,39 +295,11 @@
     /// Replies and keeps the outcome for a question that may still come.
     fn settle(&mut self, held: &HeldStart, reply: TaskReply, now: Moment) {
         let task = held.order.task;
-        self.keep(task, held.order.attempt, reply.clone(), now);
+        self.memory.keep(task, held.order.attempt, reply.clone(), now.elapsed);
         let load = self.load_for(&held.entry);
         self.actions.push(AgentAction::Reply { task, reply, load });
     }
 
-    fn keep(&mut self, task: TaskId, attempt: u32, reply: TaskReply, now: Moment) {
-        let until = now.elapsed + self.limits.outcome_kept;
-        let kept = KeptOutcome { attempt, reply, until };
-        if kept.bytes() > 0 {
-            self.answer_bytes += kept.bytes();
-            self.answer_order.push_back(task);
-        }
-        self.outcome_order.insert((until, task));
-        self.outcomes.insert(task, kept);
-        while self.answer_bytes > self.limits.answer_bytes && self.drop_oldest_answer() {}
-    }
-
-    /// Drops the oldest answer; that the task ran stays known.
-    fn drop_oldest_answer(&mut self) -> bool {
-        let Some(task) = self.answer_order.pop_front() else { return false };
-        if let Some(kept) = self.outcomes.get_mut(&task) {
-            self.answer_bytes -= kept.bytes();
-            kept.reply = TaskReply::Lost;
-        }
-        true
-    }
-
-    fn forget(&mut self, task: TaskId) {
-        let Some(kept) = self.outcomes.remove(&task) else { return };
-        self.answer_bytes -= kept.bytes();
-        self.outcome_order.remove(&(kept.until, task));
-    }
-
     fn ask(&mut self, entry: &str, asked: AskedStart, now: Moment) {
         let task = asked.task;
         if asked.incarnation == self.incarnation && self.held.contains_key(&task) {
@@ -475,7 +316,7 @@
         if asked.incarnation != self.incarnation {
             return TaskReply::Lost;
         }
-        match self.outcomes.get(&asked.task) {
+        match self.memory.get(asked.task) {
             Some(kept) if !matches!(kept.reply, TaskReply::NotStarted(_)) => kept.reply.clone(),
             Some(kept) if kept.attempt >= asked.attempt => kept.reply.clone(),
             _ if now.elapsed >= asked.sent_at + self.limits.outcome_kept => TaskReply::Lost,
@@ -486,10 +327,10 @@
     /// Promises never to start what was not received.
     fn forbid(&mut self, asked: AskedStart, now: Moment) -> TaskReply {
         let reason = NotStartedReason::NeverReceived;
-        self.note(EventKind::AgentRefused, asked.task, format!("why={}", reason.name()));
-        self.forget(asked.task);
-        self.keep(asked.task, asked.attempt, TaskReply::NotStarted(reason), now);
-        TaskReply::NotStarted(reason)
+        self.note(EventKind::AgentRefused, asked.task, &[EventFigure::Why(reason)]);
+        let reply = TaskReply::NotStarted(reason);
+        self.memory.keep(asked.task, asked.attempt, reply.clone(), now.elapsed);
+        reply
     }
 
     fn cancel(&mut self, task: TaskId, now: Moment) {
@@ -529,13 +370,7 @@
     }
 
     fn tick(&mut self, now: Moment) {
-        while let Some(&(until, task)) = self.outcome_order.first() {
-            if until > now.elapsed {
-                break;
-            }
-            self.forget(task);
-        }
-        self.answer_order.retain(|task| self.outcomes.contains_key(task));
+        self.memory.expire(now.elapsed);
         self.recheck(now);
     }
 
@@ -545,8 +380,9 @@
         self.recheck(now);
     }
 
-    fn note(&mut self, kind: EventKind, task: TaskId, detail: String) {
+    fn note(&mut self, kind: EventKind, task: TaskId, figures: &[EventFigure]) {
         let event = TimelineEvent::new(kind).submission(task.submission).task(task.index);
-        self.actions.push(AgentAction::Note(event.detail(detail)));
+        let event = TimelineEvent { figures: figures.to_vec(), ..event };
+        self.actions.push(AgentAction::Note(event));
     }
 }
--- /dev/null
+++ b/crates/core/src/agent/event.rs
@@ -0,0 +1,123 @@
+//! What reaches an agent, and what it decides to do.
+
+use crate::entry::{AgentDirective, LoadReport, StartOrder, TaskReply};
+use crate::id::{EntryName, Incarnation, TaskId};
+use crate::timeline::TimelineEvent;
+use bytes::Bytes;
+use std::time::Duration;
+
+/// Limits of an agent; all come from its settings.
+#[derive(Debug, Clone)]
+pub struct AgentLimits {
+    /// Slots of the backend server.
+    pub slots: u32,
+    /// Slots of tasks that may wait here.
+    pub queue: u32,
+    /// How long the outcome of a task is kept for a question; longer than any permit.
+    pub outcome_kept: Duration,
+    /// Outcomes kept at most; no start is taken beyond.
+    pub outcomes_kept: usize,
+    /// Bytes of answers kept at most; the oldest are dropped first.
+    pub answer_bytes: usize,
+}
+
+impl Default for AgentLimits {
+    fn default() -> Self {
+        Self {
+            slots: 8,
+            queue: 8,
+            outcome_kept: Duration::from_secs(10),
+            outcomes_kept: 100_000,
+            answer_bytes: 16 << 20,
+        }
+    }
+}
+
+/// How a run at the backend server ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RunResult {
+    /// It answered.
+    Answered(Bytes),
+    /// It failed the task, or the exchange broke after the task may have reached it.
+    Failed,
+    /// It took no connection, so the task did not start.
+    NoConnection,
+}
+
+/// What reaches an agent.
+#[derive(Debug)]
+pub enum AgentEvent {
+    /// An entry sends a start.
+    Start {
+        /// Name of the entry.
+        entry: EntryName,
+        /// The start.
+        order: StartOrder,
+    },
+    /// An entry asks what became of a start.
+    Ask {
+        /// Name of the entry.
+        entry: EntryName,
+        /// Task.
+        task: TaskId,
+        /// Number of the start.
+        attempt: u32,
+        /// Incarnation that the start addressed.
+        incarnation: Incarnation,
+        /// Own clock, surely not later than the sending of the start.
+        sent_at: Duration,
+    },
+    /// An entry no longer wants a task.
+    Cancel {
+        /// Task.
+        task: TaskId,
+    },
+    /// A run ended.
+    Finished {
+        /// Task.
+        task: TaskId,
+        /// How it ended.
+        result: RunResult,
+    },
+    /// An entry answered a heartbeat that was sent at `sent`.
+    Directive {
+        /// Instruction.
+        directive: AgentDirective,
+        /// When the heartbeat was sent, on the own clock.
+        sent: Duration,
+    },
+    /// Time passed.
+    Tick,
+    /// A planned stop begins.
+    Drain,
+}
+
+/// What the daemon is to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AgentAction {
+    /// Send a task to the backend server.
+    Run(StartOrder),
+    /// Reply to the sender of the present event, and to nobody else.
+    Respond {
+        /// What to say.
+        reply: TaskReply,
+        /// Load to send along.
+        load: LoadReport,
+    },
+    /// Reply to everyone who waits for this task.
+    Reply {
+        /// Task.
+        task: TaskId,
+        /// What to say.
+        reply: TaskReply,
+        /// Load to send along.
+        load: LoadReport,
+    },
+    /// Let whoever asked wait for the outcome.
+    Wait {
+        /// Task.
+        task: TaskId,
+    },
+    /// Keep an event for the time line.
+    Note(TimelineEvent),
+}
--- /dev/null
+++ b/crates/core/src/checker/starts.rs
@@ -0,0 +1,64 @@
+//! Promises about starts: each task once, each request key by one submission.
+
+use super::{BreachList, ObservedEvent, Promise};
+use crate::claim::ClaimKey;
+use crate::id::{SubmissionId, TaskIndex};
+use crate::timeline::{EventFigure, EventKind, RunWord};
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+/// Checks the starts and returns their number.
+pub(super) fn check(events: &[&ObservedEvent], list: &mut BreachList) -> usize {
+    let keys = claimed_keys(events);
+    let mut running: HashMap<(SubmissionId, TaskIndex), Arc<str>> = HashMap::new();
+    let mut holders: HashMap<ClaimKey, SubmissionId> = HashMap::new();
+    let mut count = 0;
+    let never_reached = never_reached(events);
+    for observed in events {
+        let event = &observed.event;
+        let (Some(submission), Some(task)) = (event.submission, event.task) else { continue };
+        if event.kind != EventKind::AgentStarted {
+            continue;
+        }
+        if never_reached.contains(&(submission, task, observed.process.clone())) {
+            continue;
+        }
+        count += 1;
+        if let Some(process) = running.insert((submission, task), observed.process.clone()) {
+            list.add(Promise::StartsOnce, observed, &format!("started at {process} before"));
+        }
+        let Some(key) = keys.get(&submission) else { continue };
+        let holder = *holders.entry(*key).or_insert(submission);
+        if holder != submission {
+            let against = format!("submission {holder:032x} of the same key started before");
+            list.add(Promise::AtMostOnce, observed, &against);
+        }
+    }
+    count
+}
+
+/// Starts that the backend server took no connection for, so that nothing ran.
+fn never_reached(events: &[&ObservedEvent]) -> HashSet<(SubmissionId, TaskIndex, Arc<str>)> {
+    let ended = events.iter().filter(|observed| {
+        let figures = &observed.event.figures;
+        observed.event.kind == EventKind::AgentFinished
+            && figures.contains(&EventFigure::Result(RunWord::NoConnection))
+    });
+    let ended = ended.filter_map(|observed| {
+        let event = &observed.event;
+        Some((event.submission?, event.task?, observed.process.clone()))
+    });
+    ended.collect()
+}
+
+fn claimed_keys(events: &[&ObservedEvent]) -> HashMap<SubmissionId, ClaimKey> {
+    let sent = events.iter().filter(|observed| observed.event.kind == EventKind::ClaimSent);
+    let keyed = sent.filter_map(|observed| {
+        let key = observed.event.figures.iter().find_map(|figure| match figure {
+            EventFigure::Key(key) => Some(*key),
+            _ => None,
+        });
+        Some((observed.event.submission?, key?))
+    });
+    keyed.collect()
+}
--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -8,7 +8,7 @@
 use crate::job::{HeldJob, JobAnswer, JobRequest};
 use crate::lifecycle::{JobEvent, ServerState};
 use crate::time::Moment;
-use crate::timeline::{EventKind, TimelineEvent};
+use crate::timeline::{EventFigure, EventKind, TimelineEvent};
 use std::time::Duration;
 
 /// What to do with a job that arrived.
@@ -295,7 +295,8 @@
         self.tickets.insert(ticket, id);
         self.dues.insert((job.due, id));
         let admitted = TimelineEvent::new(EventKind::JobAdmitted).submission(id);
-        let admitted = admitted.subject(&job.service).detail(format!("tasks={}", job.tasks.len()));
+        let admitted =
+            admitted.subject(&job.service).figure(EventFigure::Tasks(job.tasks.len() as u64));
         self.note(admitted);
         match claim {
             None => {
@@ -309,7 +310,8 @@
                 self.claim_dues.insert((due, id));
                 self.jobs.insert(id, job);
                 self.claim_outbox.push(ClaimStep::Claim { key, submission: id });
-                self.note_kind(EventKind::ClaimSent, id);
+                let sent = TimelineEvent::new(EventKind::ClaimSent).submission(id);
+                self.note(sent.figure(EventFigure::Key(key)));
             }
         }
     }
@@ -360,7 +362,11 @@
     ) {
         let submission = subject.submission;
         let refused = TimelineEvent::new(EventKind::JobRefused).submission(submission);
-        self.note(refused.detail(format!("kind={} not_run={}", error.kind.name(), error.not_run)));
+        self.note(
+            refused
+                .figure(EventFigure::Kind(error.kind))
+                .figure(EventFigure::NotRun(error.not_run)),
+        );
         self.account(subject, error.clone(), now);
         let answer = JobAnswer::Failed(error);
         let version = self.version();
--- a/crates/core/src/entry/control.rs
+++ b/crates/core/src/entry/control.rs
@@ -2,48 +2,51 @@
 
 use super::{AgentDirective, DomainLife, EntryAction, EntryMachine, EntryPhase, StreamRead};
 use crate::claim::{ClaimStep, ClaimVerdict};
-use crate::config::{ApplyOutcome, ConfigRecord, ConfigSnapshot, DomainOrder};
+use crate::config::{ApplyOutcome, ConfigRecord, ConfigSnapshot, ConfigSubject, DomainOrder};
 use crate::directory::{ReportOutcome, ServerReport};
 use crate::error::{ErrorKind, RefusalFigures};
 use crate::freshness::{FreshnessVerdict, PeerReport};
-use crate::id::{DomainName, SubmissionId, TeamName};
+use crate::id::{DomainName, ServerName, SubmissionId, TeamName, Version};
 use crate::lifecycle::{DomainEvent, DomainState, JobEvent, JobState, LifecycleCharts};
 use crate::time::Moment;
-use crate::timeline::{EventKind, TimelineEvent};
-use std::collections::BTreeMap;
+use crate::timeline::{EventFigure, EventKind, TimelineEvent};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 impl EntryMachine {
     pub(super) fn take_config(&mut self, read: StreamRead<ConfigRecord>, now: Moment) {
         let before = self.version();
+        let left = self.ledger.configuration().leaving.clone();
         self.ledger.note_earliest(read.earliest);
         for (offset, record) in read.records {
             if let ApplyOutcome::Rejected { current } = self.ledger.apply(offset, record) {
-                let detail = format!("rejected=true offset={offset} current={current}");
-                self.note(TimelineEvent::new(EventKind::ConfigApplied).detail(detail));
+                let rejected = TimelineEvent::new(EventKind::ChangeRejected);
+                let rejected = rejected.figure(EventFigure::Offset(offset));
+                self.note(rejected.figure(EventFigure::Current(current)));
             }
         }
         if read.is_end && self.ledger.is_whole() {
             self.freshness.confirm(read.sent);
         }
-        self.follow_config(before, now);
+        self.follow_config(before, &left, now);
         self.judge_freshness(now);
     }
 
     pub(super) fn take_peer_snapshot(&mut self, snapshot: ConfigSnapshot, now: Moment) {
         let before = self.version();
+        let left = self.ledger.configuration().leaving.clone();
         self.ledger.adopt(snapshot);
-        self.follow_config(before, now);
+        self.follow_config(before, &left, now);
         self.judge_freshness(now);
     }
 
-    fn follow_config(&mut self, before: u64, now: Moment) {
+    fn follow_config(&mut self, before: Version, left: &BTreeSet<ServerName>, now: Moment) {
         let version = self.version();
         if version == before {
             return;
         }
         let applied = TimelineEvent::new(EventKind::ConfigApplied);
-        self.note(applied.detail(format!("version={version}")));
+        self.note(applied.figure(EventFigure::Version(version)));
         let orders: Vec<(DomainName, DomainOrder)> = {
             let domains = &self.ledger.configuration().domains;
             domains.iter().map(|(name, order)| (name.clone(), *order)).collect()
@@ -51,11 +54,34 @@
         for (domain, order) in orders {
             self.order_domain(&domain, order, now);
         }
+        self.note_leaving(left);
         let configuration = self.ledger.configuration();
         self.run_times.retain(|service| configuration.services.contains_key(service));
         self.pump_all(now);
     }
 
+    fn note_leaving(&mut self, before: &BTreeSet<ServerName>) {
+        let leaving = self.ledger.configuration().leaving.clone();
+        let told = leaving.difference(before).map(|name| (EventKind::ServerLeaving, name));
+        let back = before.difference(&leaving).map(|name| (EventKind::ServerRejoined, name));
+        for (kind, name) in told.chain(back) {
+            let at = ConfigSubject::Server(name.clone());
+            let version = self.ledger.configuration().subject_version(&at);
+            let event = TimelineEvent::new(kind).subject(name);
+            self.note(event.figure(EventFigure::Version(version)));
+        }
+    }
+
+    /// Notes the highest version that a majority of the voting entries holds.
+    fn note_accepted(&mut self) {
+        let version = self.version();
+        if version > self.accepted && self.is_accepted(version) {
+            self.accepted = version;
+            let accepted = TimelineEvent::new(EventKind::ConfigAccepted);
+            self.note(accepted.figure(EventFigure::Version(version)));
+        }
+    }
+
     fn order_domain(&mut self, domain: &DomainName, order: DomainOrder, now: Moment) {
         let chart = &LifecycleCharts::shared().domain;
         let initial = DomainLife { state: chart.initial(), since: now.elapsed };
@@ -66,7 +92,10 @@
         };
         if let Ok(state) = chart.next(life.state, event) {
             *life = DomainLife { state, since: now.elapsed };
-            self.note(TimelineEvent::new(kind).subject(domain));
+            let at = ConfigSubject::Domain(domain.clone());
+            let version = self.ledger.configuration().subject_version(&at);
+            let ordered = TimelineEvent::new(kind).subject(domain);
+            self.note(ordered.figure(EventFigure::Version(version)));
         }
     }
 
@@ -90,6 +119,7 @@
     }
 
     fn judge_freshness(&mut self, now: Moment) {
+        self.note_accepted();
         let was_fresh = self.is_fresh(now);
         let was_lapsed = self.verdict == FreshnessVerdict::Lapsed;
         let configuration = self.ledger.configuration();
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -1,12 +1,12 @@
 //! Dispatch: which task goes where, and when.
 
-use super::{EntryAction, EntryMachine, StartOrder};
+use super::{EntryAction, EntryMachine, NotStartedReason, StartOrder};
 use crate::error::{ErrorKind, RefusalFigures};
 use crate::id::{SubmissionId, TaskId};
 use crate::lifecycle::{DomainState, JobState, TaskEvent, TaskState};
 use crate::placement::PlacementCandidate;
 use crate::time::Moment;
-use crate::timeline::{EventKind, TimelineEvent};
+use crate::timeline::{EventFigure, EventKind, TimelineEvent};
 use std::time::Duration;
 
 /// What became of an attempt to place a task.
@@ -195,14 +195,14 @@
         };
         let sent = TimelineEvent::new(EventKind::TaskSent).submission(id.submission);
         let sent = sent.task(id.index).subject(server.name());
-        let detail = format!("attempt={} version={version}", task.attempts);
+        let attempt = EventFigure::Attempt(task.attempts.into());
         self.asks.insert((ask_at, id));
-        self.note(sent.detail(detail));
+        self.note(sent.figure(attempt).figure(EventFigure::Version(version)));
         self.actions.push(EntryAction::Start { address, order });
     }
 
     /// Puts a task that is proven not started back in the queue, or ends its job.
-    pub(super) fn return_task(&mut self, id: TaskId, why: &'static str, now: Moment) {
+    pub(super) fn return_task(&mut self, id: TaskId, why: NotStartedReason, now: Moment) {
         let attempts_allowed = self.limits.attempts;
         let Some(job) = self.jobs.get_mut(&id.submission) else { return };
         let task = &mut job.tasks[id.index as usize];
@@ -213,7 +213,7 @@
         task.ask_at = None;
         let attempts = task.attempts;
         let returned = TimelineEvent::new(EventKind::TaskReturned).submission(id.submission);
-        self.note(returned.task(id.index).detail(format!("why={why} attempts={attempts}")));
+        self.note(returned.task(id.index).figure(EventFigure::Why(why)));
         if attempts >= attempts_allowed {
             let figures = RefusalFigures::new("attempts", attempts_allowed.into(), attempts.into());
             self.end_failed(id.submission, ErrorKind::Overloaded, figures, now);
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -11,30 +11,13 @@
 use crate::job::{HeldJob, JobAnswer};
 use crate::lifecycle::{JobEvent, JobState, TaskEvent, TaskState};
 use crate::time::Moment;
-use crate::timeline::{EventKind, TimelineEvent};
+use crate::timeline::{EventFigure, EventKind, TimelineEvent, micros};
 use bytes::Bytes;
 use std::time::Duration;
 
 /// Time between two questions about the same task.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
 
-impl NotStartedReason {
-    /// Reason in words.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Full => "full",
-            Self::DomainOut => "domain_out",
-            Self::Leaving => "leaving",
-            Self::PermitLapsed => "permit_lapsed",
-            Self::TooLate => "too_late",
-            Self::NeverReceived => "never_received",
-            Self::OtherIncarnation => "other_incarnation",
-            Self::NoConnection => "no_connection",
-            Self::Cancelled => "cancelled",
-        }
-    }
-}
-
 impl EntryMachine {
     pub(super) fn take_reply(
         &mut self,
@@ -58,7 +41,7 @@
             TaskReply::Failed { run_time } => self.fault_task(id, index, run_time, now),
             TaskReply::NotStarted(reason) => {
                 self.settle(id, index);
-                self.return_task(id, reason.name(), now);
+                self.return_task(id, reason, now);
             }
             TaskReply::Pending => self.ask_later(id, Duration::ZERO, now),
             TaskReply::Lost => self.lose_task(id, index, now),
@@ -77,7 +60,7 @@
         match reach {
             BrokenReach::NothingSent => {
                 self.settle(id, index);
-                self.return_task(id, NotStartedReason::NoConnection.name(), now);
+                self.return_task(id, NotStartedReason::NoConnection, now);
                 self.pump_all(now);
             }
             BrokenReach::MaybeSent => self.ask_later(id, Duration::ZERO, now),
@@ -129,8 +112,8 @@
         job.tasks[id.index as usize].advance(TaskEvent::Answer);
         let is_whole = job.store(id.index as usize, answer);
         let answered = TimelineEvent::new(EventKind::TaskAnswered).submission(id.submission);
-        let detail = format!("run_time_us={}", run_time.as_micros());
-        self.note(answered.task(id.index).detail(detail));
+        let figure = EventFigure::RunTimeUs(micros(run_time));
+        self.note(answered.task(id.index).figure(figure));
         if is_whole {
             self.end_complete(id.submission, now);
         }
@@ -158,8 +141,8 @@
             job.tasks[id.index as usize].advance(TaskEvent::Fault);
         }
         let faulted = TimelineEvent::new(EventKind::TaskFaulted).submission(id.submission);
-        let detail = format!("run_time_us={}", run_time.as_micros());
-        self.note(faulted.task(id.index).subject(&name).detail(detail));
+        let figure = EventFigure::RunTimeUs(micros(run_time));
+        self.note(faulted.task(id.index).subject(&name).figure(figure));
         if is_set_aside {
             self.note(TimelineEvent::new(EventKind::ServerQuarantined).subject(&name));
         }
@@ -237,9 +220,9 @@
         let Some(mut job) = self.remove_job(id) else { return };
         job.advance(JobEvent::Finish);
         let Some(answers) = job.take_answers() else { return };
-        let took = now.elapsed.saturating_sub(job.arrived).as_micros();
+        let took = micros(now.elapsed.saturating_sub(job.arrived));
         let complete = TimelineEvent::new(EventKind::JobComplete).submission(id);
-        self.note(complete.detail(format!("took_us={took}")));
+        self.note(complete.figure(EventFigure::TookUs(took)));
         self.answer(&job, &JobAnswer::Complete(answers), now);
     }
 
@@ -256,8 +239,8 @@
         let event = if error.not_run { JobEvent::Refuse } else { JobEvent::Fail };
         job.advance(event);
         let noted = if error.not_run { EventKind::JobRefused } else { EventKind::JobFailed };
-        let detail = format!("kind={} not_run={}", kind.name(), error.not_run);
-        self.note(TimelineEvent::new(noted).submission(id).detail(detail));
+        let ended = TimelineEvent::new(noted).submission(id).figure(EventFigure::Kind(kind));
+        self.note(ended.figure(EventFigure::NotRun(error.not_run)));
         self.abandon_tasks(&mut job);
         self.release(&job);
         self.account(subject_of(&job), error.clone(), now);
@@ -277,7 +260,7 @@
         let error = job.error(ErrorKind::Cancelled, RefusalFigures::default());
         job.advance(JobEvent::Cancel);
         let cancelled = TimelineEvent::new(EventKind::JobCancelled).submission(id);
-        self.note(cancelled.detail(format!("not_run={}", error.not_run)));
+        self.note(cancelled.figure(EventFigure::NotRun(error.not_run)));
         self.abandon_tasks(&mut job);
         self.release(&job);
         self.account(subject_of(&job), error, now);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod account;
 pub mod agent;
 pub mod chart;
+pub mod checker;
 pub mod claim;
 pub mod config;
 pub mod directory;
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -4,11 +4,21 @@
 //! into one time line in which a cause stands before its effect. The ring counts the events that
 //! it dropped, so a reader can tell where a time line is incomplete.
 
-use crate::id::{Incarnation, SubmissionId, TaskIndex};
+mod figure;
+
+pub use figure::{EventFigure, RunWord};
+
+use crate::id::{Incarnation, SubmissionId, TaskIndex, Version};
 use crate::time::Stamp;
 use std::collections::VecDeque;
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Whole microseconds of `duration`.
+pub(crate) fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
 
 /// Declares the closed list of event kinds and their words.
 macro_rules! event_kinds {
@@ -37,6 +47,8 @@
 event_kinds! {
     /// The process started.
     ProcessStarted = "process_started",
+    /// The process stopped as planned.
+    ProcessStopped = "process_stopped",
     /// The process began to drain.
     ProcessDraining = "process_draining",
     /// A submission was admitted.
@@ -83,14 +95,18 @@
     ServerReplaced = "server_replaced",
     /// A backend server stopped reporting.
     ServerSilent = "server_silent",
-    /// A backend server is leaving.
+    /// Operators told a backend server to leave.
     ServerLeaving = "server_leaving",
-    /// A backend server takes work again.
-    ServerServing = "server_serving",
+    /// Operators let a backend server take work again.
+    ServerRejoined = "server_rejoined",
     /// A backend server fails what it starts.
     ServerQuarantined = "server_quarantined",
     /// A configuration version came into force here.
     ConfigApplied = "config_applied",
+    /// A majority of the voting entries holds a configuration version.
+    ConfigAccepted = "config_accepted",
+    /// A change was rejected, since another one of the same subject came first.
+    ChangeRejected = "change_rejected",
     /// A failure domain was taken out.
     DomainOut = "domain_out",
     /// A failure domain was brought back.
@@ -116,8 +132,8 @@
     pub task: Option<TaskIndex>,
     /// Server, failure domain or worker that it concerns.
     pub subject: Option<Arc<str>>,
-    /// Further figures as key=value pairs, without job content.
-    pub detail: String,
+    /// Further figures; never job content.
+    pub figures: Vec<EventFigure>,
 }
 
 impl TimelineEvent {
@@ -129,7 +145,7 @@
             submission: None,
             task: None,
             subject: None,
-            detail: String::new(),
+            figures: Vec::new(),
         }
     }
 
@@ -148,9 +164,18 @@
         Self { subject: Some(subject.clone()), ..self }
     }
 
-    /// The same event with further figures.
-    pub fn detail(self, detail: String) -> Self {
-        Self { detail, ..self }
+    /// The same event with one more figure.
+    pub fn figure(mut self, figure: EventFigure) -> Self {
+        self.figures.push(figure);
+        self
+    }
+
+    /// Configuration version among the figures.
+    pub fn version(&self) -> Option<Version> {
+        self.figures.iter().find_map(|figure| match figure {
+            EventFigure::Version(version) => Some(*version),
+            _ => None,
+        })
     }
 }
 
@@ -166,8 +191,8 @@
         if let Some(subject) = &self.subject {
             write!(f, " subject={subject}")?;
         }
-        if !self.detail.is_empty() {
-            write!(f, " {}", self.detail)?;
+        for figure in &self.figures {
+            write!(f, " {figure}")?;
         }
         Ok(())
     }
--- a/crates/daemon/src/recorder.rs
+++ b/crates/daemon/src/recorder.rs
@@ -91,10 +91,10 @@
     let name = event.kind.name();
     let submission = event.submission.map(parsleyspool_core::id::format_id);
     let subject = event.subject.as_deref();
-    let detail = event.detail.as_str();
+    let figures = event.figures.iter().map(ToString::to_string).collect::<Vec<_>>().join(" ");
     if is_detail(event.kind) {
-        tracing::debug!(event = name, submission, task = event.task, subject, detail);
+        tracing::debug!(event = name, submission, task = event.task, subject, figures);
     } else {
-        tracing::info!(event = name, submission, task = event.task, subject, detail);
+        tracing::info!(event = name, submission, task = event.task, subject, figures);
     }
 }
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -1,11 +1,11 @@
 //! JSON between the command line and the daemons.
 
-use parsleyspool_core::id::format_id;
+use parsleyspool_core::id::{format_id, parse_id};
 use parsleyspool_core::time::Stamp;
-use parsleyspool_core::timeline::{EventRing, TimelineEvent};
+use parsleyspool_core::timeline::{EventFigure, EventKind, EventRing, TimelineEvent};
 use serde::{Deserialize, Serialize};
 
-use crate::settings::{ChangeRecordWire, ConfigurationWire};
+use crate::settings::{BadIdentifier, ChangeRecordWire, ConfigurationWire};
 
 /// Order to make a change.
 pub type ChangeBody = ChangeRecordWire;
@@ -108,9 +108,9 @@
     /// Server, failure domain or worker.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub subject: Option<String>,
-    /// Further figures.
-    #[serde(default, skip_serializing_if = "String::is_empty")]
-    pub detail: String,
+    /// Further figures, each as key=value.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub figures: Vec<String>,
 }
 
 impl From<&TimelineEvent> for EventBody {
@@ -122,11 +122,32 @@
             submission: event.submission.map(format_id),
             task: event.task,
             subject: event.subject.as_ref().map(ToString::to_string),
-            detail: event.detail.clone(),
+            figures: event.figures.iter().map(ToString::to_string).collect(),
         }
     }
 }
 
+impl TryFrom<&EventBody> for TimelineEvent {
+    type Error = BadIdentifier;
+
+    fn try_from(body: &EventBody) -> Result<Self, BadIdentifier> {
+        let bad = |text: &str| BadIdentifier(text.to_owned());
+        let kind = EventKind::from_name(&body.event).ok_or_else(|| bad(&body.event))?;
+        let submission = match &body.submission {
+            Some(text) => Some(parse_id(text).ok_or_else(|| bad(text))?),
+            None => None,
+        };
+        Ok(Self {
+            stamp: body.stamp(),
+            kind,
+            submission,
+            task: body.task,
+            subject: body.subject.as_deref().map(Into::into),
+            figures: body.figures.iter().filter_map(|text| EventFigure::parse(text)).collect(),
+        })
+    }
+}
+
 impl EventBody {
     /// Place in the order over all processes.
     pub fn stamp(&self) -> Stamp {
