Tie every reply to the start that it is about

Replies named the task and the incarnation, not the start. Ruled out: the agent's memory (it kept both starts apart). A second finding of the explorer: a job under a taken request key with other content would have got the first job's answer; it is refused now. A third, by reading: a refusal of a resubmission said not_run although the first submission may have run; it says so now only while a read of the claims proves it.

Conclusion: the identity of a start is task, attempt and incarnation, everywhere.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -17,7 +17,9 @@
 
 pub use event::{AgentAction, AgentEvent, AgentLimits, RunResult};
 
-use crate::entry::{AgentDirective, LoadReport, NotStartedReason, StartOrder, TaskReply};
+use crate::entry::{
+    AgentDirective, LoadReport, NotStartedReason, SentStart, StartOrder, TaskReply,
+};
 use crate::id::{EntryName, Incarnation, TaskId, Version};
 use crate::time::Moment;
 use crate::timeline::{EventFigure, EventKind, RunWord, TimelineEvent, micros};
@@ -32,15 +34,6 @@
     started: Option<Duration>,
 }
 
-/// Start that a question is about.
-#[derive(Debug, Clone, Copy)]
-struct AskedStart {
-    task: TaskId,
-    attempt: u32,
-    incarnation: Incarnation,
-    sent_at: Duration,
-}
-
 /// What an agent knows of the configuration.
 #[derive(Debug, Clone, Copy)]
 struct KnownOrder {
@@ -93,10 +86,7 @@
     pub fn handle(&mut self, event: AgentEvent, now: Moment) -> Vec<AgentAction> {
         match event {
             AgentEvent::Start { entry, order } => self.start(entry, order, now),
-            AgentEvent::Ask { entry, task, attempt, incarnation, sent_at } => {
-                let asked = AskedStart { task, attempt, incarnation, sent_at };
-                self.ask(&entry, asked, now);
-            }
+            AgentEvent::Ask { entry, start, sent_at } => self.ask(&entry, start, sent_at, now),
             AgentEvent::Cancel { task } => self.cancel(task, now),
             AgentEvent::Finished { task, result } => self.finish(task, result, now),
             AgentEvent::Directive { directive, sent } => self.direct(&directive, sent, now),
@@ -300,32 +290,32 @@
         self.actions.push(AgentAction::Reply { task, reply, load });
     }
 
-    fn ask(&mut self, entry: &str, asked: AskedStart, now: Moment) {
+    fn ask(&mut self, entry: &str, asked: SentStart, sent_at: Duration, now: Moment) {
         let task = asked.task;
         if asked.incarnation == self.incarnation && self.held.contains_key(&task) {
             self.actions.push(AgentAction::Wait { task });
             return;
         }
-        let reply = self.recall(asked, now);
+        let reply = self.recall(asked, sent_at, now);
         let load = self.load_for(entry);
         self.actions.push(AgentAction::Respond { reply, load });
     }
 
     /// What became of a start that is not held.
-    fn recall(&mut self, asked: AskedStart, now: Moment) -> TaskReply {
+    fn recall(&mut self, asked: SentStart, sent_at: Duration, now: Moment) -> TaskReply {
         if asked.incarnation != self.incarnation {
             return TaskReply::Lost;
         }
         match self.memory.get(asked.task) {
             Some(kept) if !matches!(kept.reply, TaskReply::NotStarted(_)) => kept.reply.clone(),
             Some(kept) if kept.attempt >= asked.attempt => kept.reply.clone(),
-            _ if now.elapsed >= asked.sent_at + self.limits.outcome_kept => TaskReply::Lost,
+            _ if now.elapsed >= sent_at + self.limits.outcome_kept => TaskReply::Lost,
             _ => self.forbid(asked, now),
         }
     }
 
     /// Promises never to start what was not received.
-    fn forbid(&mut self, asked: AskedStart, now: Moment) -> TaskReply {
+    fn forbid(&mut self, asked: SentStart, now: Moment) -> TaskReply {
         let reason = NotStartedReason::NeverReceived;
         self.note(EventKind::AgentRefused, asked.task, &[EventFigure::Why(reason)]);
         let reply = TaskReply::NotStarted(reason);
--- a/crates/core/src/agent/event.rs
+++ b/crates/core/src/agent/event.rs
@@ -1,7 +1,7 @@
 //! What reaches an agent, and what it decides to do.
 
-use crate::entry::{AgentDirective, LoadReport, StartOrder, TaskReply};
-use crate::id::{EntryName, Incarnation, TaskId};
+use crate::entry::{AgentDirective, LoadReport, SentStart, StartOrder, TaskReply};
+use crate::id::{EntryName, TaskId};
 use crate::timeline::TimelineEvent;
 use bytes::Bytes;
 use std::time::Duration;
@@ -58,12 +58,8 @@
     Ask {
         /// Name of the entry.
         entry: EntryName,
-        /// Task.
-        task: TaskId,
-        /// Number of the start.
-        attempt: u32,
-        /// Incarnation that the start addressed.
-        incarnation: Incarnation,
+        /// Start.
+        start: SentStart,
         /// Own clock, surely not later than the sending of the start.
         sent_at: Duration,
     },
--- a/crates/core/src/checker.rs
+++ b/crates/core/src/checker.rs
@@ -155,6 +155,7 @@
 pub fn check(events: &[ObservedEvent], grace: CheckGrace) -> CheckReport {
     let mut ordered: Vec<&ObservedEvent> = events.iter().collect();
     ordered.sort_by_key(|observed| observed.event.stamp);
+    let ordered = starts::without_unreached(ordered);
     let mut list = BreachList::default();
     let starts = starts::check(&ordered, &mut list);
     let submissions = jobs::check(&ordered, &mut list);
--- a/crates/core/src/checker/jobs.rs
+++ b/crates/core/src/checker/jobs.rs
@@ -77,8 +77,8 @@
     let said = events
         .iter()
         .filter(|observed| observed.event.figures.contains(&EventFigure::NotRun(true)));
-    let said: HashMap<SubmissionId, &ObservedEvent> =
-        said.filter_map(|observed| Some((observed.event.submission?, **observed))).collect();
+    let said = said.copied().filter_map(|observed| Some((observed.event.submission?, observed)));
+    let said: HashMap<SubmissionId, &ObservedEvent> = said.collect();
     for observed in events {
         if observed.event.kind != EventKind::AgentStarted {
             continue;
--- a/crates/core/src/checker/starts.rs
+++ b/crates/core/src/checker/starts.rs
@@ -13,16 +13,12 @@
     let mut running: HashMap<(SubmissionId, TaskIndex), Arc<str>> = HashMap::new();
     let mut holders: HashMap<ClaimKey, SubmissionId> = HashMap::new();
     let mut count = 0;
-    let never_reached = never_reached(events);
     for observed in events {
         let event = &observed.event;
         let (Some(submission), Some(task)) = (event.submission, event.task) else { continue };
         if event.kind != EventKind::AgentStarted {
             continue;
         }
-        if never_reached.contains(&(submission, task, observed.process.clone())) {
-            continue;
-        }
         count += 1;
         if let Some(process) = running.insert((submission, task), observed.process.clone()) {
             list.add(Promise::StartsOnce, observed, &format!("started at {process} before"));
@@ -37,8 +33,19 @@
     count
 }
 
-/// Starts that the backend server took no connection for, so that nothing ran.
-fn never_reached(events: &[&ObservedEvent]) -> HashSet<(SubmissionId, TaskIndex, Arc<str>)> {
+/// Leaves out the starts that the backend server took no connection for: nothing ran.
+pub(super) fn without_unreached(events: Vec<&ObservedEvent>) -> Vec<&ObservedEvent> {
+    let unreached = unreached(&events);
+    let is_unreached = |observed: &ObservedEvent| {
+        let event = &observed.event;
+        let (Some(submission), Some(task)) = (event.submission, event.task) else { return false };
+        event.kind == EventKind::AgentStarted
+            && unreached.contains(&(submission, task, observed.process.clone()))
+    };
+    events.into_iter().filter(|observed| !is_unreached(observed)).collect()
+}
+
+fn unreached(events: &[&ObservedEvent]) -> HashSet<(SubmissionId, TaskIndex, Arc<str>)> {
     let ended = events.iter().filter(|observed| {
         let figures = &observed.event.figures;
         observed.event.kind == EventKind::AgentFinished
--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -10,6 +10,7 @@
 //! claim window is refused, so claims may expire with the log's retention, which must be longer.
 
 use crate::id::{Offset, SubmissionId};
+use crate::job::TaskRequest;
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 use xxhash_rust::xxh3::Xxh3;
@@ -28,6 +29,18 @@
     hasher.digest128()
 }
 
+/// Digest of what a job asks for, to tell a resubmission from another job under its key.
+pub fn content_digest(tasks: &[TaskRequest]) -> u64 {
+    let mut hasher = Xxh3::new();
+    for task in tasks {
+        for part in [task.request.as_bytes(), &task.payload] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+    }
+    hasher.digest()
+}
+
 /// One entry of a record in the claim stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ClaimStep {
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -20,7 +20,9 @@
 
 pub use action::EntryAction;
 pub use event::{BrokenReach, EntryEvent, StreamRead};
-pub use exchange::{AgentDirective, LoadReport, NotStartedReason, StartOrder, TaskReply};
+pub use exchange::{
+    AgentDirective, LoadReport, NotStartedReason, SentStart, StartOrder, TaskReply,
+};
 pub use limits::EntryLimits;
 
 use crate::account::{RefusalBook, RefusalRecord};
@@ -76,6 +78,7 @@
 #[derive(Debug)]
 struct KeptAnswer {
     submission: SubmissionId,
+    digest: u64,
     answer: JobAnswer,
     until: Duration,
 }
@@ -109,7 +112,7 @@
     claims: ClaimLedger,
     claim_outbox: Vec<ClaimStep>,
     claims_in_flight: Vec<ClaimStep>,
-    has_read_claims: bool,
+    claims_read: Option<Duration>,
     freshness: FreshnessLease,
     verdict: FreshnessVerdict,
     directory: ServerDirectory,
@@ -146,7 +149,7 @@
             claims: ClaimLedger::new(limits.claim_window + limits.longest_deadline),
             claim_outbox: Vec::new(),
             claims_in_flight: Vec::new(),
-            has_read_claims: false,
+            claims_read: None,
             freshness: FreshnessLease::new(identity.name.clone(), limits.lease),
             verdict: FreshnessVerdict::Lapsed,
             directory: ServerDirectory::new(limits.directory.clone()),
@@ -184,12 +187,8 @@
             }
             EntryEvent::Cancel { ticket } => self.cancel(ticket, now),
             EntryEvent::Report(report) => self.take_report(report, now),
-            EntryEvent::Reply { task, incarnation, reply, load } => {
-                self.take_reply(task, incarnation, reply, load, now);
-            }
-            EntryEvent::Broken { task, incarnation, reach } => {
-                self.take_break(task, incarnation, reach, now);
-            }
+            EntryEvent::Reply { start, reply, load } => self.take_reply(start, reply, load, now),
+            EntryEvent::Broken { start, reach } => self.take_break(start, reach, now),
             EntryEvent::ConfigRead(read) => self.take_config(read, now),
             EntryEvent::ClaimRead(read) => self.take_claims(read, now),
             EntryEvent::ClaimsAppended { is_confirmed } => self.end_claim_append(is_confirmed),
--- a/crates/core/src/entry/action.rs
+++ b/crates/core/src/entry/action.rs
@@ -1,6 +1,6 @@
 //! What an entry decides to do.
 
-use super::exchange::StartOrder;
+use super::exchange::{SentStart, StartOrder};
 use crate::account::AccountStep;
 use crate::claim::ClaimStep;
 use crate::config::ConfigSnapshot;
@@ -34,12 +34,8 @@
     Ask {
         /// Address of the agent.
         address: PeerAddress,
-        /// Task.
-        task: TaskId,
-        /// Number of the start.
-        attempt: u32,
-        /// Incarnation that has it.
-        incarnation: Incarnation,
+        /// Start.
+        start: SentStart,
         /// Clock of the agent that is surely not later than the sending of the start.
         sent_at: Duration,
     },
--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -1,7 +1,7 @@
 //! Admission: which jobs an entry takes.
 
 use super::{AccountSubject, EntryAction, EntryMachine, EntryPhase};
-use crate::claim::{ClaimKey, ClaimStep, claim_key};
+use crate::claim::{ClaimKey, ClaimStep, claim_key, content_digest};
 use crate::config::{Configuration, ServiceSpec};
 use crate::error::{ErrorKind, JobError, RefusalFigures};
 use crate::id::{SubmissionId, submission_id};
@@ -36,10 +36,39 @@
             Admission::Claim(key) => self.hold(id, ticket, request, Some(key), now),
             Admission::Join(other) => self.join(ticket, other),
             Admission::Repeat(key) => self.repeat(ticket, key),
-            Admission::Refuse(error) => self.refuse(id, ticket, &request, error, now),
+            Admission::Refuse(error) => {
+                let error = self.proven(&request, error, now);
+                self.refuse(id, ticket, &request, error, now);
+            }
         }
     }
 
+    /// The same error, without the statement that the request was not run where an earlier
+    /// submission of it may have run.
+    fn proven(&self, request: &JobRequest, error: JobError, now: Moment) -> JobError {
+        let spec = find_spec(self.ledger.configuration(), request);
+        let is_idempotent = spec.is_ok_and(|spec| is_idempotent(spec, request));
+        let Some(created) = request.created.filter(|_| !is_idempotent) else { return error };
+        let key = claim_key(&request.team, &request.service, &request.job, created);
+        let not_run = error.not_run && self.is_key_clear(key, None, now);
+        JobError { not_run, ..error }
+    }
+
+    /// Whether no submission but `own` can have run under `key`, as of the last claims read.
+    ///
+    /// A submission starts only after its claim stands in the log, so a read that reached the end
+    /// of the claims without finding one proves that none started before.
+    pub(super) fn is_key_clear(
+        &self,
+        key: ClaimKey,
+        own: Option<SubmissionId>,
+        now: Moment,
+    ) -> bool {
+        let is_read = self.claims_read.is_some_and(|at| at + self.limits.lease > now.elapsed);
+        let holder = self.claims.holder(key);
+        holder.map_or(is_read, |holder| Some(holder) == own)
+    }
+
     pub(super) fn refuse_malformed(&mut self, ticket: u64, error: JobError, now: Moment) {
         let id = self.next_id();
         let empty = AccountSubject {
@@ -74,7 +103,7 @@
             Ok(key) => key,
             Err(error) => return Admission::Refuse(error),
         };
-        if let Some(known) = key.and_then(|key| self.find_claimed(key)) {
+        if let Some(known) = key.and_then(|key| self.find_claimed(key, request)) {
             return known;
         }
         let checks = [Self::check_room, Self::check_quota, Self::check_deadline];
@@ -242,8 +271,7 @@
     /// Claim key that the job needs, `None` where all its requests are idempotent.
     fn claim_for(&self, request: &JobRequest, now: Moment) -> Result<Option<ClaimKey>, JobError> {
         let spec = find_spec(self.ledger.configuration(), request)?;
-        let is_idempotent = |name| spec.requests.get(name).is_some_and(|rule| rule.idempotent);
-        if request.tasks.iter().all(|task| is_idempotent(&task.request)) {
+        if is_idempotent(spec, request) {
             return Ok(None);
         }
         let Some(created) = request.created else {
@@ -261,22 +289,31 @@
             let figures = RefusalFigures::new("claim_window_ms", allowed, millis(age));
             return Err(JobError::new(ErrorKind::RequestKeyExpired, figures));
         }
-        if !self.has_read_claims {
+        if self.claims_read.is_none() {
             return Err(JobError::plain(ErrorKind::LogUnavailable));
         }
         Ok(Some(claim_key(&request.team, &request.service, &request.job, created)))
     }
 
     /// What to do with a key that a submission known here holds.
-    fn find_claimed(&self, key: ClaimKey) -> Option<Admission> {
-        if self.kept.contains_key(&key) {
-            return Some(Admission::Repeat(key));
+    fn find_claimed(&self, key: ClaimKey, request: &JobRequest) -> Option<Admission> {
+        let digest = content_digest(&request.tasks);
+        if let Some(kept) = self.kept.get(&key) {
+            let repeat = Admission::Repeat(key);
+            return Some(if kept.digest == digest { repeat } else { Self::key_reused() });
         }
         let holder = self.claims.holder(key)?;
-        if self.jobs.contains_key(&holder) {
-            return Some(Admission::Join(holder));
-        }
-        Some(Admission::Refuse(JobError::plain(ErrorKind::AlreadyClaimed)))
+        Some(match self.jobs.get(&holder) {
+            Some(job) if job.digest == digest => Admission::Join(holder),
+            Some(_) => Self::key_reused(),
+            None => Admission::Refuse(JobError::plain(ErrorKind::AlreadyClaimed)),
+        })
+    }
+
+    /// Refusal of another job under a key that is taken.
+    fn key_reused() -> Admission {
+        let figures = RefusalFigures::new("jobs_per_request_key", 1, 2);
+        Admission::Refuse(JobError::new(ErrorKind::InvalidRequest, figures))
     }
 
     fn hold(
@@ -288,8 +325,10 @@
         now: Moment,
     ) {
         let Some(spec) = self.ledger.configuration().services.get(&request.service) else { return };
+        let digest = claim.map_or(0, |_| content_digest(&request.tasks));
         let mut job = HeldJob::new(id, ticket, request, spec, now.elapsed);
         job.claim = claim;
+        job.digest = digest;
         self.held_tasks += job.tasks.len();
         *self.team_open.entry(job.team.clone()).or_insert(0) += job.task_count();
         self.tickets.insert(ticket, id);
@@ -396,6 +435,11 @@
     Err(JobError::plain(kind))
 }
 
+fn is_idempotent(spec: &ServiceSpec, request: &JobRequest) -> bool {
+    let is_idempotent = |name| spec.requests.get(name).is_some_and(|rule| rule.idempotent);
+    request.tasks.iter().all(|task| is_idempotent(&task.request))
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/core/src/entry/control.rs
+++ b/crates/core/src/entry/control.rs
@@ -7,6 +7,7 @@
 use crate::error::{ErrorKind, RefusalFigures};
 use crate::freshness::{FreshnessVerdict, PeerReport};
 use crate::id::{DomainName, ServerName, SubmissionId, TeamName, Version};
+use crate::job::HeldJob;
 use crate::lifecycle::{DomainEvent, DomainState, JobEvent, JobState, LifecycleCharts};
 use crate::time::Moment;
 use crate::timeline::{EventFigure, EventKind, TimelineEvent};
@@ -143,7 +144,9 @@
                 self.follow_claim(verdict, now);
             }
         }
-        self.has_read_claims |= read.is_end;
+        if read.is_end {
+            self.claims_read = self.claims_read.max(Some(read.sent));
+        }
     }
 
     fn follow_claim(&mut self, verdict: ClaimVerdict, now: Moment) {
@@ -170,7 +173,9 @@
         }
         let Some(job) = self.jobs.get_mut(&submission) else { return };
         job.claim = None;
-        if !self.jobs.contains_key(&holder) {
+        let digest = job.digest;
+        let is_same = |holder: &HeldJob| holder.digest == digest;
+        if !self.jobs.get(&holder).is_some_and(is_same) {
             let figures = RefusalFigures::default();
             self.end_failed(submission, ErrorKind::AlreadyClaimed, figures, now);
             return;
--- a/crates/core/src/entry/event.rs
+++ b/crates/core/src/entry/event.rs
@@ -1,12 +1,12 @@
 //! What reaches an entry.
 
-use super::exchange::{LoadReport, TaskReply};
+use super::exchange::{LoadReport, SentStart, TaskReply};
 use crate::claim::ClaimStep;
 use crate::config::{ConfigRecord, ConfigSnapshot};
 use crate::directory::ServerReport;
 use crate::error::{ErrorKind, RefusalFigures};
 use crate::freshness::PeerReport;
-use crate::id::{Incarnation, Offset, TaskId, TeamName};
+use crate::id::{Offset, TeamName};
 use crate::job::JobRequest;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -39,10 +39,8 @@
     Report(ServerReport),
     /// An agent replied to a start or a question.
     Reply {
-        /// Task.
-        task: TaskId,
-        /// Incarnation that the start addressed.
-        incarnation: Incarnation,
+        /// Start that the exchange is about.
+        start: SentStart,
         /// What the agent says.
         reply: TaskReply,
         /// Load at the agent, where it said.
@@ -50,10 +48,8 @@
     },
     /// The exchange about a task broke.
     Broken {
-        /// Task.
-        task: TaskId,
-        /// Incarnation that the start addressed.
-        incarnation: Incarnation,
+        /// Start that the exchange is about.
+        start: SentStart,
         /// Whether anything may have reached the agent.
         reach: BrokenReach,
     },
--- a/crates/core/src/entry/exchange.rs
+++ b/crates/core/src/entry/exchange.rs
@@ -30,6 +30,27 @@
     pub start_before: Duration,
 }
 
+/// One start of a task, as its entry and its agent both name it.
+///
+/// An answer about an earlier start of the same task says nothing of the present one, even where
+/// both went to the same agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct SentStart {
+    /// Task.
+    pub task: TaskId,
+    /// Number among the starts of the task, from 1.
+    pub attempt: u32,
+    /// Incarnation of the agent that is meant.
+    pub incarnation: Incarnation,
+}
+
+impl StartOrder {
+    /// Which start this is.
+    pub fn sent_start(&self) -> SentStart {
+        SentStart { task: self.task, attempt: self.attempt, incarnation: self.incarnation }
+    }
+}
+
 /// Why an agent did not start a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum NotStartedReason {
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -2,11 +2,11 @@
 
 use super::{
     AccountSubject, BrokenReach, EntryAction, EntryMachine, KeptAnswer, LoadReport,
-    NotStartedReason, TaskReply,
+    NotStartedReason, SentStart, TaskReply,
 };
 use crate::claim::{ClaimKey, ClaimStep};
 use crate::directory::ServerRecord;
-use crate::error::{ErrorKind, RefusalFigures};
+use crate::error::{ErrorKind, JobError, RefusalFigures};
 use crate::id::{Incarnation, SubmissionId, TaskId};
 use crate::job::{HeldJob, JobAnswer};
 use crate::lifecycle::{JobEvent, JobState, TaskEvent, TaskState};
@@ -21,13 +21,13 @@
 impl EntryMachine {
     pub(super) fn take_reply(
         &mut self,
-        id: TaskId,
-        incarnation: Incarnation,
+        start: SentStart,
         reply: TaskReply,
         load: Option<LoadReport>,
         now: Moment,
     ) {
-        let Some(index) = self.server_of(id, incarnation) else {
+        let id = start.task;
+        let Some(index) = self.server_of(start) else {
             self.note_orphan(id, &reply);
             return;
         };
@@ -49,14 +49,9 @@
         self.pump_server(index, now);
     }
 
-    pub(super) fn take_break(
-        &mut self,
-        id: TaskId,
-        incarnation: Incarnation,
-        reach: BrokenReach,
-        now: Moment,
-    ) {
-        let Some(index) = self.server_of(id, incarnation) else { return };
+    pub(super) fn take_break(&mut self, start: SentStart, reach: BrokenReach, now: Moment) {
+        let id = start.task;
+        let Some(index) = self.server_of(start) else { return };
         match reach {
             BrokenReach::NothingSent => {
                 self.settle(id, index);
@@ -69,10 +64,12 @@
     }
 
     /// Index of the server that has the task, where the exchange is about its present start.
-    fn server_of(&self, id: TaskId, incarnation: Incarnation) -> Option<usize> {
+    fn server_of(&self, start: SentStart) -> Option<usize> {
+        let id = start.task;
         let task = self.jobs.get(&id.submission)?.tasks.get(id.index as usize)?;
         let (index, addressed) = task.server?;
-        (task.state() == TaskState::Sent && addressed == incarnation).then_some(index)
+        let is_present = addressed == start.incarnation && task.attempts == start.attempt;
+        (task.state() == TaskState::Sent && is_present).then_some(index)
     }
 
     fn note_orphan(&mut self, id: TaskId, reply: &TaskReply) {
@@ -206,14 +203,15 @@
         let Some((index, incarnation)) = task.server else { return };
         let Some(server) = self.directory.get(index) else { return };
         let address = server.latest().address.clone();
-        let (attempt, sent_at) = (task.attempts, task.sent_at);
+        let start = SentStart { task: id, attempt: task.attempts, incarnation };
+        let sent_at = task.sent_at;
         let at = now.elapsed + ASK_AGAIN;
         task.ask_at = Some(at);
         self.asks.insert((at, id));
         let asked = TimelineEvent::new(EventKind::TaskAsked).submission(id.submission);
         let asked = asked.task(id.index).subject(server.name());
         self.note(asked);
-        self.actions.push(EntryAction::Ask { address, task: id, attempt, incarnation, sent_at });
+        self.actions.push(EntryAction::Ask { address, start, sent_at });
     }
 
     fn end_complete(&mut self, id: SubmissionId, now: Moment) {
@@ -226,6 +224,19 @@
         self.answer(&job, &JobAnswer::Complete(answers), now);
     }
 
+    /// Error of `kind` that says no more than what is proven of the job and its key.
+    fn job_error(
+        &self,
+        job: &HeldJob,
+        kind: ErrorKind,
+        figures: RefusalFigures,
+        now: Moment,
+    ) -> JobError {
+        let is_clear = job.claim.is_none_or(|key| self.is_key_clear(key, Some(job.id), now));
+        let not_run = job.is_not_run() && is_clear && kind != ErrorKind::AlreadyClaimed;
+        JobError { not_run, ..JobError::new(kind, figures) }
+    }
+
     /// Ends a job with an error; what still runs is no longer waited for.
     pub(super) fn end_failed(
         &mut self,
@@ -235,10 +246,10 @@
         now: Moment,
     ) {
         let Some(mut job) = self.remove_job(id) else { return };
-        let error = job.error(kind, figures);
-        let event = if error.not_run { JobEvent::Refuse } else { JobEvent::Fail };
+        let error = self.job_error(&job, kind, figures, now);
+        let event = if job.is_not_run() { JobEvent::Refuse } else { JobEvent::Fail };
         job.advance(event);
-        let noted = if error.not_run { EventKind::JobRefused } else { EventKind::JobFailed };
+        let noted = if job.is_not_run() { EventKind::JobRefused } else { EventKind::JobFailed };
         let ended = TimelineEvent::new(noted).submission(id).figure(EventFigure::Kind(kind));
         self.note(ended.figure(EventFigure::NotRun(error.not_run)));
         self.abandon_tasks(&mut job);
@@ -257,7 +268,7 @@
             return;
         }
         let Some(mut job) = self.remove_job(id) else { return };
-        let error = job.error(ErrorKind::Cancelled, RefusalFigures::default());
+        let error = self.job_error(&job, ErrorKind::Cancelled, RefusalFigures::default(), now);
         job.advance(JobEvent::Cancel);
         let cancelled = TimelineEvent::new(EventKind::JobCancelled).submission(id);
         self.note(cancelled.figure(EventFigure::NotRun(error.not_run)));
@@ -270,7 +281,7 @@
         let version = self.version();
         let is_unclaimed = job.claim.is_none() || job.is_not_run();
         if let Some(key) = job.claim.filter(|_| !is_unclaimed) {
-            self.keep_answer(key, job.id, answer.clone(), now);
+            self.keep_answer(key, job, answer, now);
         }
         for &ticket in &job.tickets {
             self.tickets.remove(&ticket);
@@ -279,16 +290,11 @@
         }
     }
 
-    fn keep_answer(
-        &mut self,
-        key: ClaimKey,
-        submission: SubmissionId,
-        answer: JobAnswer,
-        now: Moment,
-    ) {
+    fn keep_answer(&mut self, key: ClaimKey, job: &HeldJob, answer: &JobAnswer, now: Moment) {
         if self.kept.len() < self.limits.answers_kept {
             let until = now.elapsed + self.limits.answer_kept;
-            self.kept.insert(key, KeptAnswer { submission, answer, until });
+            let (submission, digest, answer) = (job.id, job.digest, answer.clone());
+            self.kept.insert(key, KeptAnswer { submission, digest, answer, until });
         }
     }
 
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -5,7 +5,7 @@
 
 use crate::claim::ClaimKey;
 use crate::config::ServiceSpec;
-use crate::error::{ErrorKind, JobError, RefusalFigures};
+use crate::error::JobError;
 use crate::id::{Incarnation, JobName, RequestName, ServiceName, SubmissionId, TeamName};
 use crate::lifecycle::{JobEvent, JobState, LifecycleCharts, TaskEvent, TaskState};
 use bytes::Bytes;
@@ -122,6 +122,8 @@
     pub due: Duration,
     /// Its claim, where a request is non-idempotent.
     pub claim: Option<ClaimKey>,
+    /// Digest of its tasks, where it has a claim.
+    pub digest: u64,
     /// Tasks by index.
     pub tasks: Vec<HeldTask>,
     state: JobState,
@@ -147,6 +149,7 @@
             arrived: now,
             due,
             claim: None,
+            digest: 0,
             tasks: request.tasks.into_iter().map(|task| HeldTask::new(task, spec)).collect(),
             state: LifecycleCharts::shared().job.initial(),
             answered: 0,
@@ -195,10 +198,4 @@
     pub fn is_not_run(&self) -> bool {
         self.tasks.iter().all(|task| task.server.is_none())
     }
-
-    /// Error of `kind` with the proof that this job allows.
-    pub fn error(&self, kind: ErrorKind, figures: RefusalFigures) -> JobError {
-        let error = JobError::new(kind, figures);
-        JobError { not_run: self.is_not_run(), ..error }
-    }
 }
--- a/crates/daemon/src/agent/actor.rs
+++ b/crates/daemon/src/agent/actor.rs
@@ -119,13 +119,9 @@
     async fn handle(&mut self, message: AskTask, ctx: &mut Context<Self>) {
         let address = ctx.mailbox().address();
         let ask = message.ask;
-        let event = AgentEvent::Ask {
-            entry: ask.entry.into(),
-            task: ask.task.into(),
-            attempt: ask.attempt,
-            incarnation: ask.incarnation,
-            sent_at: Duration::from_micros(ask.sent_at_us),
-        };
+        let sent_at = Duration::from_micros(ask.sent_at_us);
+        let start = ask.start();
+        let event = AgentEvent::Ask { entry: ask.entry.into(), start, sent_at };
         self.decide(event, Some(message.sender), &address);
     }
 }
--- a/crates/daemon/src/entry/actor.rs
+++ b/crates/daemon/src/entry/actor.rs
@@ -5,13 +5,14 @@
 use parsleyspool_core::config::{ApplyOutcome, ConfigRecord, ConfigSnapshot};
 use parsleyspool_core::directory::ServerReport;
 use parsleyspool_core::entry::{
-    BrokenReach, EntryAction, EntryEvent, EntryMachine, StartOrder, TaskReply,
+    BrokenReach, EntryAction, EntryEvent, EntryMachine, SentStart, StartOrder, TaskReply,
 };
 use parsleyspool_core::id::{ChangeId, Offset, PeerAddress, SubmissionId, TaskId, Version};
 use parsleyspool_core::job::JobAnswer;
 use parsleyspool_wire::operator::{ConfigBody, ProcessBody, StatusBody};
 use parsleyspool_wire::peer::{
     AskMessage, CancelMessage, DirectiveMessage, PeerQuestion, PeerStateMessage, StartMessage,
+    TaskReplyMessage,
 };
 use parsleyspool_wire::record::{
     ACCOUNT_STREAM, AccountRecordWire, CLAIM_STREAM, CONFIG_STREAM, encode_account, encode_claims,
@@ -92,15 +93,9 @@
                 self.answer(ticket, CallerAnswer { submission, answer, version });
             }
             EntryAction::Start { address: agent, order } => self.start(agent, order, address),
-            EntryAction::Ask { address: agent, task, attempt, incarnation, sent_at } => {
-                let message = AskMessage {
-                    entry: self.shared.settings.name.clone(),
-                    task: task.into(),
-                    attempt,
-                    incarnation,
-                    sent_at_us: u64::try_from(sent_at.as_micros()).unwrap_or(u64::MAX),
-                };
-                self.ask(agent, task, message, address);
+            EntryAction::Ask { address: agent, start, sent_at } => {
+                let message = AskMessage::new(&self.shared.settings.name, start, sent_at);
+                self.ask(agent, start, message, address);
             }
             EntryAction::CancelTask { .. } => {}
             EntryAction::AppendClaims(steps) => match encode_claims(&steps) {
@@ -131,15 +126,15 @@
     }
 
     fn start(&self, agent: PeerAddress, order: StartOrder, address: &WeakAddress<Self>) {
-        let (task, incarnation) = (order.task, order.incarnation);
+        let start = order.sent_start();
         let message = StartMessage::new(&self.shared.settings.name, order);
         let within = self.shared.settings.limits.longest_deadline;
         let (shared, address) = (self.shared.clone(), address.clone());
         tokio::spawn(async move {
             let result = shared.edges.agents.start(agent, message, within).await;
             let event = match result {
-                Ok(reply) => reply_event(task, incarnation, reply),
-                Err(reach) => EntryEvent::Broken { task, incarnation, reach },
+                Ok(reply) => reply_event(start, reply),
+                Err(reach) => EntryEvent::Broken { start, reach },
             };
             let _ = address.send(Decide(event)).await;
         });
@@ -148,20 +143,17 @@
     fn ask(
         &self,
         agent: PeerAddress,
-        task: TaskId,
+        start: SentStart,
         message: AskMessage,
         address: &WeakAddress<Self>,
     ) {
-        let incarnation = message.incarnation;
         let (shared, address) = (self.shared.clone(), address.clone());
         tokio::spawn(async move {
             let result = shared.edges.agents.ask(agent, message).await;
             let event = match result {
-                Ok(reply) => reply_event(task, incarnation, reply),
+                Ok(reply) => reply_event(start, reply),
                 // The next question is due already; only a refused connection decides anything.
-                Err(reach @ BrokenReach::PeerGone) => {
-                    EntryEvent::Broken { task, incarnation, reach }
-                }
+                Err(reach @ BrokenReach::PeerGone) => EntryEvent::Broken { start, reach },
                 Err(_) => return,
             };
             let _ = address.send(Decide(event)).await;
@@ -213,13 +205,9 @@
 /// Time before an append that the log did not confirm is made again.
 const APPEND_RETRY: Duration = Duration::from_millis(200);
 
-fn reply_event(
-    task: TaskId,
-    incarnation: u64,
-    reply: parsleyspool_wire::peer::TaskReplyMessage,
-) -> EntryEvent {
+fn reply_event(start: SentStart, reply: TaskReplyMessage) -> EntryEvent {
     let load = Some(reply.load());
-    EntryEvent::Reply { task, incarnation, reply: TaskReply::from(reply.reply), load }
+    EntryEvent::Reply { start, reply: TaskReply::from(reply.reply), load }
 }
 
 /// Event for the decision part.
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -100,7 +100,8 @@
     pub kind: String,
     /// Short phrase for a person.
     pub reason: String,
-    /// Whether no task of this submission started.
+    /// Whether no task of this submission started and, for a non-idempotent request, none of an
+    /// earlier submission under the same key.
     pub not_run: bool,
     /// Whether the same request may be sent again; for a job that may have run, only where all its
     /// requests are idempotent.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use parsleyspool_core::directory::ServerReport;
 use parsleyspool_core::entry::{
-    AgentDirective, LoadReport, NotStartedReason, StartOrder, TaskReply,
+    AgentDirective, LoadReport, NotStartedReason, SentStart, StartOrder, TaskReply,
 };
 use parsleyspool_core::freshness::PeerReport;
 use parsleyspool_core::id::TaskId;
@@ -137,6 +137,26 @@
     pub sent_at_us: u64,
 }
 
+impl AskMessage {
+    /// Question of the entry `entry` about `start`, sent when the agent's clock was at `sent_at`
+    /// or later.
+    pub fn new(entry: &str, start: SentStart, sent_at: Duration) -> Self {
+        Self {
+            entry: entry.to_owned(),
+            task: start.task.into(),
+            attempt: start.attempt,
+            incarnation: start.incarnation,
+            sent_at_us: micros(sent_at),
+        }
+    }
+
+    /// Start that it is about.
+    pub fn start(&self) -> SentStart {
+        let (task, attempt) = (self.task.into(), self.attempt);
+        SentStart { task, attempt, incarnation: self.incarnation }
+    }
+}
+
 /// Cancellation by an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CancelMessage {
