--- a/crates/cli/src/cmd.rs
+++ b/crates/cli/src/cmd.rs
@@ -1,8 +1,23 @@
 //! One file for each subcommand.
 
 pub mod agent;
+pub mod apply;
+pub mod check;
+pub mod config;
+pub mod domain;
+pub mod electorate;
 pub mod entry;
+pub mod log_level;
+pub mod questionnaire;
+pub mod quota;
+pub mod reference;
+pub mod refusals;
+pub mod server;
+pub mod service;
 mod signal;
+pub mod status;
+pub mod timeline;
+pub mod verify;
 
 use crate::error::CommandError;
 use error_stack::Report;
--- /dev/null
+++ b/crates/cli/src/cmd/config.rs
@@ -0,0 +1,26 @@
+//! `parsleyspool config`.
+
+use crate::client::{ClientOptions, OperatorClient};
+use crate::error::CommandError;
+use crate::output::print_json;
+use clap::Args;
+use error_stack::{Report, ResultExt};
+
+/// Arguments of `config`.
+#[derive(Debug, Args)]
+pub struct ConfigArgs {}
+
+impl ConfigArgs {
+    /// Prints the configuration in force.
+    pub async fn run(self, options: ClientOptions) -> Result<(), Report<CommandError>> {
+        let client = OperatorClient::new(options)?;
+        let body = client.config().await?;
+        if client.options().json {
+            return print_json(&body);
+        }
+        println!("# as of {}, {}", body.entry, body.freshness);
+        let text = serde_saphyr::to_string(&body.configuration);
+        print!("{}", text.change_context(CommandError::Input)?);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cmd/domain.rs
@@ -0,0 +1,36 @@
+//! `parsleyspool domain`.
+
+use crate::change::make;
+use crate::client::{ClientOptions, OperatorClient};
+use crate::error::CommandError;
+use clap::{Args, Subcommand};
+use error_stack::Report;
+use parsleyspool_wire::settings::{ChangeWire, OrderWire};
+
+/// Subcommands of `domain`.
+#[derive(Debug, Subcommand)]
+pub enum DomainCommand {
+    /// Take a failure domain out of service.
+    Out(DomainArgs),
+    /// Bring a failure domain back into service.
+    Back(DomainArgs),
+}
+
+/// Arguments that are a failure domain.
+#[derive(Debug, Args)]
+pub struct DomainArgs {
+    /// Name of the failure domain.
+    domain: String,
+}
+
+impl DomainCommand {
+    /// Runs the subcommand.
+    pub async fn run(self, options: ClientOptions) -> Result<(), Report<CommandError>> {
+        let client = OperatorClient::new(options)?;
+        let (domain, order) = match self {
+            Self::Out(args) => (args.domain, OrderWire::OutOfService),
+            Self::Back(args) => (args.domain, OrderWire::InService),
+        };
+        make(&client, ChangeWire::OrderDomain { domain, order }).await
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cmd/electorate.rs
@@ -0,0 +1,25 @@
+//! `parsleyspool electorate`.
+
+use crate::change::make;
+use crate::client::{ClientOptions, OperatorClient};
+use crate::error::CommandError;
+use clap::Args;
+use error_stack::Report;
+use parsleyspool_wire::settings::ChangeWire;
+
+/// Arguments of `electorate`.
+#[derive(Debug, Args)]
+pub struct ElectorateArgs {
+    /// Names of all voting entries.
+    #[arg(required = true)]
+    entries: Vec<String>,
+}
+
+impl ElectorateArgs {
+    /// Sets the voting entries.
+    pub async fn run(self, options: ClientOptions) -> Result<(), Report<CommandError>> {
+        let client = OperatorClient::new(options)?;
+        let entries = self.entries.into_iter().collect();
+        make(&client, ChangeWire::SetElectorate { entries }).await
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cmd/quota.rs
@@ -0,0 +1,30 @@
+//! `parsleyspool quota`.
+
+use crate::change::make;
+use crate::client::{ClientOptions, OperatorClient};
+use crate::error::CommandError;
+use clap::Args;
+use error_stack::Report;
+use parsleyspool_wire::settings::{ChangeWire, QuotaWire};
+
+/// Arguments of `quota`.
+#[derive(Debug, Args)]
+pub struct QuotaArgs {
+    /// Name of the team.
+    team: String,
+    /// Most tasks accepted and not yet answered, over all entries.
+    #[arg(long)]
+    tasks_in_flight: u32,
+    /// Weight where several teams wait for the same slots.
+    #[arg(long, default_value_t = 1)]
+    weight: u32,
+}
+
+impl QuotaArgs {
+    /// Sets the quota.
+    pub async fn run(self, options: ClientOptions) -> Result<(), Report<CommandError>> {
+        let client = OperatorClient::new(options)?;
+        let quota = QuotaWire { tasks_in_flight: self.tasks_in_flight, weight: self.weight };
+        make(&client, ChangeWire::SetQuota { team: self.team, quota }).await
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cmd/reference.rs
@@ -0,0 +1,96 @@
+//! `parsleyspool reference`.
+
+use crate::error::CommandError;
+use clap::{Args, ValueEnum};
+use error_stack::Report;
+use parsleyspool_core::error::{ErrorKind, Resubmission, RunProof};
+use parsleyspool_daemon::settings::SETTING_TABLE;
+use parsleyspool_daemon::telemetry::metrics::METRIC_TABLE;
+
+/// Arguments of `reference`.
+#[derive(Debug, Args)]
+pub struct ReferenceArgs {
+    /// Which table.
+    table: ReferenceTable,
+}
+
+/// Tables that the documentation shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum ReferenceTable {
+    /// Keys of the settings files.
+    Settings,
+    /// Error kinds and the answers that they give.
+    Errors,
+    /// Metrics.
+    Metrics,
+    /// Exit codes of the commands.
+    ExitCodes,
+}
+
+impl ReferenceArgs {
+    /// Prints the table in Markdown.
+    pub fn run(self) -> Result<(), Report<CommandError>> {
+        print!("{}", render(self.table));
+        Ok(())
+    }
+}
+
+/// Table in Markdown.
+pub fn render(table: ReferenceTable) -> String {
+    match table {
+        ReferenceTable::Settings => settings(),
+        ReferenceTable::Errors => errors(),
+        ReferenceTable::Metrics => metrics(),
+        ReferenceTable::ExitCodes => exit_codes(),
+    }
+}
+
+fn markdown(heads: &[&str], rows: impl Iterator<Item = Vec<String>>) -> String {
+    let mut text = format!("| {} |\n", heads.join(" | "));
+    text.push_str(&format!("|{}\n", " --- |".repeat(heads.len())));
+    for row in rows {
+        text.push_str(&format!("| {} |\n", row.join(" | ")));
+    }
+    text
+}
+
+fn settings() -> String {
+    let rows = SETTING_TABLE.iter();
+    let rows = rows.map(|row| vec![format!("`{}`", row.key), row.unit.into(), row.help.into()]);
+    markdown(&["key", "unit", "meaning"], rows)
+}
+
+fn errors() -> String {
+    let rows = ErrorKind::ALL.into_iter().map(|kind| {
+        let answer = kind.answer();
+        let proof = match answer.proof {
+            RunProof::NotRun => "not run",
+            RunProof::MayHaveRun => "may have run",
+        };
+        let resubmission = match answer.resubmission {
+            Resubmission::Useless => "useless".to_owned(),
+            Resubmission::After(time) => format!("after {} ms", time.as_millis()),
+            Resubmission::IfIdempotent => "if idempotent".to_owned(),
+        };
+        let (name, status) = (format!("`{}`", answer.name), answer.status.to_string());
+        vec![name, status, proof.to_owned(), resubmission, answer.phrase.to_owned()]
+    });
+    markdown(&["kind", "status", "proof", "resubmission", "meaning"], rows)
+}
+
+fn metrics() -> String {
+    let rows = METRIC_TABLE.iter().map(|row| {
+        let name = format!("`{}`", row.name);
+        let cells = [row.kind, row.unit, row.label, row.values, row.help];
+        std::iter::once(name).chain(cells.map(str::to_owned)).collect()
+    });
+    markdown(&["name", "kind", "unit", "label", "label values", "meaning"], rows)
+}
+
+fn exit_codes() -> String {
+    let fixed = [(0, "done"), (2, "the command line is wrong")];
+    let rows = CommandError::TABLE.into_iter().map(|(_, code, text)| (code, text));
+    let rows = fixed.into_iter().chain(rows);
+    let rows = rows.map(|(code, text)| vec![code.to_string(), text.to_owned()]);
+    markdown(&["exit code", "meaning"], rows)
+}
--- /dev/null
+++ b/crates/cli/src/cmd/server.rs
@@ -0,0 +1,36 @@
+//! `parsleyspool server`.
+
+use crate::change::make;
+use crate::client::{ClientOptions, OperatorClient};
+use crate::error::CommandError;
+use clap::{Args, Subcommand};
+use error_stack::Report;
+use parsleyspool_wire::settings::ChangeWire;
+
+/// Subcommands of `server`.
+#[derive(Debug, Subcommand)]
+pub enum ServerCommand {
+    /// Make a backend server finish what it has and take nothing new.
+    Leave(ServerArgs),
+    /// Let a backend server take work again.
+    Rejoin(ServerArgs),
+}
+
+/// Arguments that are a backend server.
+#[derive(Debug, Args)]
+pub struct ServerArgs {
+    /// Name of the backend server.
+    server: String,
+}
+
+impl ServerCommand {
+    /// Runs the subcommand.
+    pub async fn run(self, options: ClientOptions) -> Result<(), Report<CommandError>> {
+        let client = OperatorClient::new(options)?;
+        let change = match self {
+            Self::Leave(args) => ChangeWire::LeaveServer { server: args.server },
+            Self::Rejoin(args) => ChangeWire::RejoinServer { server: args.server },
+        };
+        make(&client, change).await
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cmd/status.rs
@@ -0,0 +1,59 @@
+//! `parsleyspool status`.
+
+use crate::client::{ClientOptions, OperatorClient};
+use crate::error::CommandError;
+use crate::output::{print_json, table};
+use clap::Args;
+use error_stack::Report;
+use parsleyspool_wire::operator::StatusBody;
+
+/// Arguments of `status`.
+#[derive(Debug, Args)]
+pub struct StatusArgs {}
+
+const HEADS: [&str; 9] =
+    ["process", "role", "domain", "worker", "state", "version", "heard", "load", "slots"];
+
+impl StatusArgs {
+    /// Prints what each entry knows of all processes.
+    pub async fn run(self, options: ClientOptions) -> Result<(), Report<CommandError>> {
+        let client = OperatorClient::new(options)?;
+        let statuses = client.statuses().await;
+        let answered: Vec<&StatusBody> =
+            statuses.iter().filter_map(|(_, status)| status.as_ref()).collect();
+        if client.options().json {
+            print_json(&answered)?;
+        } else {
+            answered.iter().for_each(|status| print_status(status));
+        }
+        let silent = statuses.iter().filter(|(_, status)| status.is_none());
+        let silent: Vec<String> = silent.map(|(address, _)| address.to_string()).collect();
+        if silent.is_empty() {
+            return Ok(());
+        }
+        let text = format!("no answer from {}", silent.join(", "));
+        Err(Report::new(CommandError::Unreachable).attach(text))
+    }
+}
+
+fn print_status(status: &StatusBody) {
+    println!(
+        "{} is {}, holds version {} ({}), {} jobs, {} tasks queued",
+        status.name, status.life, status.version, status.freshness, status.jobs, status.queued
+    );
+    let mut rows = vec![HEADS.map(str::to_owned).to_vec()];
+    for process in &status.processes {
+        rows.push(vec![
+            process.name.clone(),
+            process.role.clone(),
+            process.domain.clone(),
+            process.worker.clone(),
+            process.state.clone(),
+            process.version.to_string(),
+            format!("{} ms", process.heard_ms),
+            process.load.to_string(),
+            process.slots.to_string(),
+        ]);
+    }
+    println!("{}", table(&rows));
+}
--- /dev/null
+++ b/crates/cli/src/cmd/verify.rs
@@ -0,0 +1,63 @@
+//! `parsleyspool verify`.
+
+use crate::client::{ClientOptions, OperatorClient};
+use crate::error::CommandError;
+use crate::gather::GatheredEvents;
+use crate::output::print_json;
+use clap::Args;
+use error_stack::Report;
+use parsleyspool_core::checker::{CheckGrace, CheckReport, Promise, check};
+use serde::Serialize;
+
+/// Arguments of `verify`.
+#[derive(Debug, Args)]
+pub struct VerifyArgs {}
+
+#[derive(Debug, Serialize)]
+struct VerifyReport {
+    submissions: usize,
+    starts: usize,
+    breaches: Vec<String>,
+    gaps: Vec<String>,
+}
+
+impl VerifyArgs {
+    /// Checks the promises and names the events that break them.
+    pub async fn run(self, options: ClientOptions) -> Result<(), Report<CommandError>> {
+        let client = OperatorClient::new(options)?;
+        let gathered = GatheredEvents::load(&client).await;
+        let report = check(&gathered.events, CheckGrace::default());
+        print(&client, &report, gathered.gaps())?;
+        if report.breaches.is_empty() {
+            return Ok(());
+        }
+        let text = format!("{} breaches", report.breaches.len());
+        Err(Report::new(CommandError::Broken).attach(text))
+    }
+}
+
+fn print(
+    client: &OperatorClient,
+    report: &CheckReport,
+    gaps: Vec<String>,
+) -> Result<(), Report<CommandError>> {
+    if client.options().json {
+        return print_json(&VerifyReport {
+            submissions: report.submissions,
+            starts: report.starts,
+            breaches: report.breaches.iter().map(ToString::to_string).collect(),
+            gaps,
+        });
+    }
+    println!("{} submissions, {} starts", report.submissions, report.starts);
+    for (promise, name) in Promise::ALL {
+        match report.first(promise) {
+            None => println!("{name}: holds"),
+            Some(breach) => println!("{name}: BROKEN first by {breach}"),
+        }
+    }
+    for gap in gaps {
+        println!("gap: {gap}; what it would show is not checked");
+    }
+    Ok(())
+}
--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -6,6 +6,10 @@
 //! appended again with the same numbers. A reader therefore finds every loss as a hole in the
 //! numbers, or as an incarnation without a closing record.
 
+mod audit;
+
+pub use audit::{AccountAudit, AuditEnd, AuditStep, IncarnationAudit};
+
 use crate::error::JobError;
 use crate::id::{JobName, ServiceName, SubmissionId, TeamName, Version};
 use std::collections::VecDeque;
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -132,7 +132,7 @@
     fn start(&mut self, entry: EntryName, order: StartOrder, now: Moment) {
         let task = order.task;
         if order.incarnation != self.incarnation {
-            self.refuse(task, &entry, NotStartedReason::OtherIncarnation);
+            self.disown(task, &entry);
             return;
         }
         if self.held.contains_key(&task) {
@@ -145,7 +145,7 @@
             return;
         }
         if let Some(reason) = self.arrival_objection(&order, now) {
-            self.refuse(task, &entry, reason);
+            self.refuse(&order, &entry, reason, now);
             return;
         }
         self.hold(entry, order, now);
@@ -211,12 +211,26 @@
         (!is_permitted).then_some(NotStartedReason::PermitLapsed)
     }
 
-    fn refuse(&mut self, task: TaskId, entry: &str, reason: NotStartedReason) {
+    /// Refuses a start, and every later copy of it.
+    fn refuse(&mut self, order: &StartOrder, entry: &str, reason: NotStartedReason, now: Moment) {
+        let task = order.task;
         self.note(EventKind::AgentRefused, task, &[EventFigure::Why(reason)]);
-        let (reply, load) = (TaskReply::NotStarted(reason), self.load_for(entry));
+        let reply = TaskReply::NotStarted(reason);
+        if !self.memory.is_full() {
+            self.memory.keep(task, order.attempt, reply.clone(), now.elapsed);
+        }
+        let load = self.load_for(entry);
         self.actions.push(AgentAction::Respond { reply, load });
     }
 
+    /// Answers a start meant for another incarnation, which may have received a copy of it.
+    fn disown(&mut self, task: TaskId, entry: &str) {
+        let reason = EventFigure::Why(NotStartedReason::OtherIncarnation);
+        self.note(EventKind::AgentRefused, task, &[reason]);
+        let load = self.load_for(entry);
+        self.actions.push(AgentAction::Respond { reply: TaskReply::Lost, load });
+    }
+
     /// Starts what waits while slots are free.
     fn run_next(&mut self, now: Moment) {
         while let Some(&task) = self.queue.front() {
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -13,6 +13,8 @@
 mod admit;
 mod control;
 mod dispatch;
+mod ending;
+mod estimate;
 mod event;
 mod exchange;
 mod limits;
--- a/crates/core/src/entry/control.rs
+++ b/crates/core/src/entry/control.rs
@@ -6,18 +6,17 @@
 use crate::directory::{ReportOutcome, ServerReport};
 use crate::error::{ErrorKind, RefusalFigures};
 use crate::freshness::{FreshnessVerdict, PeerReport};
-use crate::id::{DomainName, ServerName, SubmissionId, TeamName, Version};
+use crate::id::{DomainName, SubmissionId, TeamName, Version};
 use crate::job::HeldJob;
 use crate::lifecycle::{DomainEvent, DomainState, JobEvent, JobState, LifecycleCharts};
 use crate::time::Moment;
 use crate::timeline::{EventFigure, EventKind, TimelineEvent};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 impl EntryMachine {
     pub(super) fn take_config(&mut self, read: StreamRead<ConfigRecord>, now: Moment) {
         let before = self.version();
-        let left = self.ledger.configuration().leaving.clone();
         self.ledger.note_earliest(read.earliest);
         for (offset, record) in read.records {
             if let ApplyOutcome::Rejected { current } = self.ledger.apply(offset, record) {
@@ -29,19 +28,18 @@
         if read.is_end && self.ledger.is_whole() {
             self.freshness.confirm(read.sent);
         }
-        self.follow_config(before, &left, now);
+        self.follow_config(before, now);
         self.judge_freshness(now);
     }
 
     pub(super) fn take_peer_snapshot(&mut self, snapshot: ConfigSnapshot, now: Moment) {
         let before = self.version();
-        let left = self.ledger.configuration().leaving.clone();
         self.ledger.adopt(snapshot);
-        self.follow_config(before, &left, now);
+        self.follow_config(before, now);
         self.judge_freshness(now);
     }
 
-    fn follow_config(&mut self, before: Version, left: &BTreeSet<ServerName>, now: Moment) {
+    fn follow_config(&mut self, before: Version, now: Moment) {
         let version = self.version();
         if version == before {
             return;
@@ -55,21 +53,34 @@
         for (domain, order) in orders {
             self.order_domain(&domain, order, now);
         }
-        self.note_leaving(left);
+        self.note_orders(before);
         let configuration = self.ledger.configuration();
         self.run_times.retain(|service| configuration.services.contains_key(service));
         self.pump_all(now);
     }
 
-    fn note_leaving(&mut self, before: &BTreeSet<ServerName>) {
-        let leaving = self.ledger.configuration().leaving.clone();
-        let told = leaving.difference(before).map(|name| (EventKind::ServerLeaving, name));
-        let back = before.difference(&leaving).map(|name| (EventKind::ServerRejoined, name));
-        for (kind, name) in told.chain(back) {
-            let at = ConfigSubject::Server(name.clone());
-            let version = self.ledger.configuration().subject_version(&at);
+    /// Notes each order about a failure domain or backend server that came after `before`, also
+    /// where a snapshot brought it.
+    fn note_orders(&mut self, before: Version) {
+        let configuration = self.ledger.configuration();
+        let later = configuration.subjects.iter().filter(|(_, version)| **version > before);
+        let events = later.filter_map(|(subject, version)| {
+            let (kind, name) = match subject {
+                ConfigSubject::Domain(name) if configuration.is_in_service(name) => {
+                    (EventKind::DomainBack, name)
+                }
+                ConfigSubject::Domain(name) => (EventKind::DomainOut, name),
+                ConfigSubject::Server(name) if configuration.is_leaving(name) => {
+                    (EventKind::ServerLeaving, name)
+                }
+                ConfigSubject::Server(name) => (EventKind::ServerRejoined, name),
+                _ => return None,
+            };
             let event = TimelineEvent::new(kind).subject(name);
-            self.note(event.figure(EventFigure::Version(version)));
+            Some(event.figure(EventFigure::Version(*version)))
+        });
+        for event in events.collect::<Vec<_>>() {
+            self.note(event);
         }
     }
 
@@ -87,16 +98,12 @@
         let chart = &LifecycleCharts::shared().domain;
         let initial = DomainLife { state: chart.initial(), since: now.elapsed };
         let life = self.domains.entry(domain.clone()).or_insert(initial);
-        let (event, kind) = match order {
-            DomainOrder::OutOfService => (DomainEvent::TakeOut, EventKind::DomainOut),
-            DomainOrder::InService => (DomainEvent::BringBack, EventKind::DomainBack),
+        let event = match order {
+            DomainOrder::OutOfService => DomainEvent::TakeOut,
+            DomainOrder::InService => DomainEvent::BringBack,
         };
         if let Ok(state) = chart.next(life.state, event) {
             *life = DomainLife { state, since: now.elapsed };
-            let at = ConfigSubject::Domain(domain.clone());
-            let version = self.ledger.configuration().subject_version(&at);
-            let ordered = TimelineEvent::new(kind).subject(domain);
-            self.note(ordered.figure(EventFigure::Version(version)));
         }
     }
 
--- a/crates/core/src/entry/exchange.rs
+++ b/crates/core/src/entry/exchange.rs
@@ -66,7 +66,7 @@
     TooLate,
     /// The agent never received the start, and now never will start it.
     NeverReceived,
-    /// The agent is another incarnation, and the start reached only this one.
+    /// The agent is another incarnation than the one meant; no proof that the task did not start.
     OtherIncarnation,
     /// The backend server took no connection.
     NoConnection,
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -1,15 +1,13 @@
 //! Outcomes: what a reply, a broken exchange or the passing of time means for a task and its job.
 
 use super::{
-    AccountSubject, BrokenReach, EntryAction, EntryMachine, KeptAnswer, LoadReport,
-    NotStartedReason, SentStart, TaskReply,
+    BrokenReach, EntryAction, EntryMachine, LoadReport, NotStartedReason, SentStart, TaskReply,
 };
-use crate::claim::{ClaimKey, ClaimStep};
 use crate::directory::ServerRecord;
-use crate::error::{ErrorKind, JobError, RefusalFigures};
-use crate::id::{Incarnation, SubmissionId, TaskId};
-use crate::job::{HeldJob, JobAnswer};
-use crate::lifecycle::{JobEvent, JobState, TaskEvent, TaskState};
+use crate::error::{ErrorKind, RefusalFigures};
+use crate::id::{Incarnation, TaskId};
+use crate::job::HeldJob;
+use crate::lifecycle::{ServerEvent, TaskEvent, TaskState};
 use crate::time::Moment;
 use crate::timeline::{EventFigure, EventKind, TimelineEvent, micros};
 use bytes::Bytes;
@@ -41,7 +39,9 @@
             TaskReply::Failed { run_time } => self.fault_task(id, index, run_time, now),
             TaskReply::NotStarted(reason) => {
                 self.settle(id, index);
+                self.heed_refusal(index, reason, now);
                 self.return_task(id, reason, now);
+                self.pump_all(now);
             }
             TaskReply::Pending => self.ask_later(id, Duration::ZERO, now),
             TaskReply::Lost => self.lose_task(id, index, now),
@@ -55,6 +55,7 @@
         match reach {
             BrokenReach::NothingSent => {
                 self.settle(id, index);
+                self.heed(index, ServerEvent::Silence);
                 self.return_task(id, NotStartedReason::NoConnection, now);
                 self.pump_all(now);
             }
@@ -63,6 +64,34 @@
         }
     }
 
+    /// Keeps further tasks from a server that would refuse them too, until its next heartbeat.
+    fn heed_refusal(&mut self, index: usize, reason: NotStartedReason, now: Moment) {
+        match reason {
+            NotStartedReason::Leaving | NotStartedReason::DomainOut => {
+                self.heed(index, ServerEvent::Leave);
+            }
+            NotStartedReason::PermitLapsed => self.heed(index, ServerEvent::Silence),
+            NotStartedReason::NoConnection => self.count_failure(index, now),
+            _ => {}
+        }
+    }
+
+    fn heed(&mut self, index: usize, event: ServerEvent) {
+        if let Some(server) = self.directory.get_mut(index) {
+            server.advance(event);
+        }
+    }
+
+    /// Counts a failure against a server, and notes when that sets it aside.
+    fn count_failure(&mut self, index: usize, now: Moment) {
+        let trust = self.directory.trust().clone();
+        let Some(server) = self.directory.get_mut(index) else { return };
+        if server.fail(&trust, now.elapsed) {
+            let name = server.name().clone();
+            self.note(TimelineEvent::new(EventKind::ServerQuarantined).subject(&name));
+        }
+    }
+
     /// Index of the server that has the task, where the exchange is about its present start.
     fn server_of(&self, start: SentStart) -> Option<usize> {
         let id = start.task;
@@ -130,19 +159,16 @@
 
     fn fault_task(&mut self, id: TaskId, index: usize, run_time: Duration, now: Moment) {
         self.settle(id, index);
-        let trust = self.directory.trust().clone();
-        let Some(server) = self.directory.get_mut(index) else { return };
-        let is_set_aside = server.fail(&trust, now.elapsed);
-        let name = server.name().clone();
+        let Some(name) = self.directory.get(index).map(|server| server.name().clone()) else {
+            return;
+        };
         if let Some(job) = self.jobs.get_mut(&id.submission) {
             job.tasks[id.index as usize].advance(TaskEvent::Fault);
         }
         let faulted = TimelineEvent::new(EventKind::TaskFaulted).submission(id.submission);
         let figure = EventFigure::RunTimeUs(micros(run_time));
         self.note(faulted.task(id.index).subject(&name).figure(figure));
-        if is_set_aside {
-            self.note(TimelineEvent::new(EventKind::ServerQuarantined).subject(&name));
-        }
+        self.count_failure(index, now);
         let figures = RefusalFigures::new("task_index", 0, id.index.into());
         self.end_failed(id.submission, ErrorKind::TaskFailed, figures, now);
     }
@@ -213,176 +239,4 @@
         self.note(asked);
         self.actions.push(EntryAction::Ask { address, start, sent_at });
     }
-
-    fn end_complete(&mut self, id: SubmissionId, now: Moment) {
-        let Some(mut job) = self.remove_job(id) else { return };
-        job.advance(JobEvent::Finish);
-        let Some(answers) = job.take_answers() else { return };
-        let took = micros(now.elapsed.saturating_sub(job.arrived));
-        let complete = TimelineEvent::new(EventKind::JobComplete).submission(id);
-        self.note(complete.figure(EventFigure::TookUs(took)));
-        self.answer(&job, &JobAnswer::Complete(answers), now);
-    }
-
-    /// Error of `kind` that says no more than what is proven of the job and its key.
-    fn job_error(
-        &self,
-        job: &HeldJob,
-        kind: ErrorKind,
-        figures: RefusalFigures,
-        now: Moment,
-    ) -> JobError {
-        let is_clear = job.claim.is_none_or(|key| self.is_key_clear(key, Some(job.id), now));
-        let not_run = job.is_not_run() && is_clear && kind != ErrorKind::AlreadyClaimed;
-        JobError { not_run, ..JobError::new(kind, figures) }
-    }
-
-    /// Ends a job with an error; what still runs is no longer waited for.
-    pub(super) fn end_failed(
-        &mut self,
-        id: SubmissionId,
-        kind: ErrorKind,
-        figures: RefusalFigures,
-        now: Moment,
-    ) {
-        let Some(mut job) = self.remove_job(id) else { return };
-        let error = self.job_error(&job, kind, figures, now);
-        let event = if job.is_not_run() { JobEvent::Refuse } else { JobEvent::Fail };
-        job.advance(event);
-        let noted = if job.is_not_run() { EventKind::JobRefused } else { EventKind::JobFailed };
-        let ended = TimelineEvent::new(noted).submission(id).figure(EventFigure::Kind(kind));
-        self.note(ended.figure(EventFigure::NotRun(error.not_run)));
-        self.abandon_tasks(&mut job);
-        self.release(&job);
-        self.account(subject_of(&job), error.clone(), now);
-        self.answer(&job, &JobAnswer::Failed(error), now);
-    }
-
-    /// Frees what a job holds that nobody waits for.
-    pub(super) fn cancel(&mut self, ticket: u64, now: Moment) {
-        let Some(id) = self.tickets.remove(&ticket) else { return };
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.tickets.retain(|&other| other != ticket);
-        let is_kept = job.claim.is_some() && !job.is_not_run();
-        if !job.tickets.is_empty() || is_kept {
-            return;
-        }
-        let Some(mut job) = self.remove_job(id) else { return };
-        let error = self.job_error(&job, ErrorKind::Cancelled, RefusalFigures::default(), now);
-        job.advance(JobEvent::Cancel);
-        let cancelled = TimelineEvent::new(EventKind::JobCancelled).submission(id);
-        self.note(cancelled.figure(EventFigure::NotRun(error.not_run)));
-        self.abandon_tasks(&mut job);
-        self.release(&job);
-        self.account(subject_of(&job), error, now);
-    }
-
-    fn answer(&mut self, job: &HeldJob, answer: &JobAnswer, now: Moment) {
-        let version = self.version();
-        let is_unclaimed = job.claim.is_none() || job.is_not_run();
-        if let Some(key) = job.claim.filter(|_| !is_unclaimed) {
-            self.keep_answer(key, job, answer, now);
-        }
-        for &ticket in &job.tickets {
-            self.tickets.remove(&ticket);
-            let (submission, answer) = (job.id, answer.clone());
-            self.actions.push(EntryAction::Answer { ticket, submission, answer, version });
-        }
-    }
-
-    fn keep_answer(&mut self, key: ClaimKey, job: &HeldJob, answer: &JobAnswer, now: Moment) {
-        if self.kept.len() < self.limits.answers_kept {
-            let until = now.elapsed + self.limits.answer_kept;
-            let (submission, digest, answer) = (job.id, job.digest, answer.clone());
-            self.kept.insert(key, KeptAnswer { submission, digest, answer, until });
-        }
-    }
-
-    /// Releases the claim of a job that is proven not run.
-    fn release(&mut self, job: &HeldJob) {
-        if let Some(key) = job.claim.filter(|_| job.is_not_run()) {
-            self.claim_outbox.push(ClaimStep::Release { key, submission: job.id });
-        }
-    }
-
-    pub(super) fn remove_job(&mut self, id: SubmissionId) -> Option<HeldJob> {
-        let job = self.jobs.remove(&id)?;
-        self.dues.remove(&(job.due, id));
-        self.held_tasks -= job.tasks.len();
-        if let Some(open) = self.team_open.get_mut(&job.team) {
-            *open = open.saturating_sub(job.task_count());
-            if *open == 0 {
-                self.team_open.remove(&job.team);
-            }
-        }
-        Some(job)
-    }
-
-    fn abandon_tasks(&mut self, job: &mut HeldJob) {
-        for (task, index) in job.tasks.iter_mut().zip(0u32..) {
-            let id = TaskId::new(job.id, index);
-            if let Some(at) = task.ask_at.take() {
-                self.asks.remove(&(at, id));
-            }
-            task.advance(TaskEvent::Drop);
-            if task.state() != TaskState::Sent {
-                continue;
-            }
-            task.advance(TaskEvent::Abandon);
-            let Some((server, incarnation)) = task.server else { continue };
-            let Some(record) = self.directory.get_mut(server) else { continue };
-            if record.incarnation() != incarnation {
-                continue;
-            }
-            record.settle(task.slots);
-            let address = record.latest().address.clone();
-            self.actions.push(EntryAction::CancelTask { address, task: id, incarnation });
-        }
-    }
-
-    /// Ends every job whose answer is due.
-    pub(super) fn end_overdue(&mut self, now: Moment) {
-        while let Some(&(due, id)) = self.dues.first() {
-            if due > now.elapsed {
-                return;
-            }
-            self.dues.pop_first();
-            let Some(job) = self.jobs.get(&id) else { continue };
-            let figures = RefusalFigures::new(
-                "deadline_ms",
-                u64::try_from((job.due - job.arrived).as_millis()).unwrap_or(u64::MAX),
-                u64::try_from((now.elapsed - job.arrived).as_millis()).unwrap_or(u64::MAX),
-            );
-            let is_not_run = job.is_not_run();
-            let kind = if is_not_run { ErrorKind::Expired } else { ErrorKind::OutcomeUnknown };
-            self.end_failed(id, kind, figures, now);
-        }
-    }
-
-    /// Ends every job whose claim the log did not confirm in time.
-    pub(super) fn end_unclaimed(&mut self, now: Moment) {
-        while let Some(&(due, id)) = self.claim_dues.first() {
-            if due > now.elapsed {
-                return;
-            }
-            self.claim_dues.pop_first();
-            let is_waiting = |job: &HeldJob| job.state() == JobState::Claiming;
-            if !self.jobs.get(&id).is_some_and(is_waiting) {
-                continue;
-            }
-            let limit = u64::try_from(self.limits.claim_timeout.as_millis()).unwrap_or(u64::MAX);
-            let figures = RefusalFigures::new("claim_timeout_ms", limit, limit);
-            self.end_failed(id, ErrorKind::LogUnavailable, figures, now);
-        }
-    }
-}
-
-fn subject_of(job: &HeldJob) -> AccountSubject {
-    AccountSubject {
-        submission: job.id,
-        job: job.job.clone(),
-        team: job.team.clone(),
-        service: job.service.clone(),
-        tasks: job.task_count(),
-    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod id;
 pub mod job;
 pub mod lifecycle;
+pub mod member;
 pub mod placement;
 pub mod queue;
 pub mod retry;
--- /dev/null
+++ b/crates/core/tests/session/desk.rs
@@ -0,0 +1,334 @@
+//! Desk at which a session is played: one entry, its servers in name only, and the log.
+
+use bytes::Bytes;
+use parsleyspool_core::claim::ClaimStep;
+use parsleyspool_core::config::{
+    ChangeRecord, ConfigChange, ConfigLedger, ConfigRecord, DomainOrder, RequestRule, ServiceSpec,
+    TeamQuota,
+};
+use parsleyspool_core::directory::ServerReport;
+use parsleyspool_core::entry::{
+    BrokenReach, EntryAction, EntryEvent, EntryIdentity, EntryLimits, EntryMachine,
+    NotStartedReason, SentStart, StreamRead, TaskReply,
+};
+use parsleyspool_core::id::submission_id;
+use parsleyspool_core::job::{JobAnswer, JobRequest, TaskRequest};
+use parsleyspool_core::time::Moment;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+const INCARNATION: u64 = 1;
+const WALL_START: Duration = Duration::from_secs(1_000_000);
+
+struct ServerName {
+    name: String,
+    incarnation: u64,
+    sequence: u64,
+}
+
+pub struct SessionDesk {
+    now: Duration,
+    machine: EntryMachine,
+    servers: Vec<ServerName>,
+    config: Vec<ConfigRecord>,
+    operators: ConfigLedger,
+    claims: Vec<Vec<ClaimStep>>,
+    appends: Vec<bool>,
+    loses_claims: bool,
+    starts: BTreeMap<(u64, u32), SentStart>,
+    submissions: BTreeMap<u64, u128>,
+    submitted: u64,
+    story: String,
+}
+
+impl SessionDesk {
+    /// Entry with a service of three kinds of request and servers of four slots, each in a failure
+    /// domain of its own.
+    pub fn with_servers(names: &[&str]) -> Self {
+        let identity = EntryIdentity {
+            name: "e".into(),
+            incarnation: INCARNATION,
+            domain: "d-a".into(),
+            rank: 0,
+        };
+        let servers = names.iter().map(|name| ServerName {
+            name: (*name).to_owned(),
+            incarnation: 100,
+            sequence: 0,
+        });
+        let mut desk = Self {
+            now: Duration::from_secs(10),
+            machine: EntryMachine::new(identity, EntryLimits::default(), 1),
+            servers: servers.collect(),
+            config: Vec::new(),
+            operators: ConfigLedger::new(),
+            claims: Vec::new(),
+            appends: Vec::new(),
+            loses_claims: false,
+            starts: BTreeMap::new(),
+            submissions: BTreeMap::new(),
+            submitted: 0,
+            story: String::new(),
+        };
+        desk.configure();
+        desk.read_log();
+        desk.read_claims();
+        desk.greet_all();
+        desk.story.clear();
+        desk
+    }
+
+    fn configure(&mut self) {
+        let rule = |idempotent, slots| RequestRule {
+            idempotent,
+            run_time: Duration::from_millis(100),
+            slots,
+        };
+        let requests = BTreeMap::from([
+            ("look".into(), rule(true, 1)),
+            ("redeem".into(), rule(false, 1)),
+            ("wide".into(), rule(true, 9)),
+        ]);
+        let spec = ServiceSpec { team: "t".into(), deadline: Duration::from_secs(10), requests };
+        self.operate(ConfigChange::PutService { name: "s".into(), spec });
+        let quota = TeamQuota { tasks_in_flight: 12, weight: 1 };
+        self.operate(ConfigChange::SetQuota { team: "t".into(), quota });
+    }
+
+    fn operate(&mut self, change: ConfigChange) {
+        let base = self.operators.configuration().subject_version(&change.subject());
+        let offset = self.config.len() as u64;
+        let id = u128::from(offset);
+        let record = ChangeRecord { id, operator: "o".to_owned(), base, change };
+        self.operators.apply(offset, ConfigRecord::Change(record.clone()));
+        self.config.push(ConfigRecord::Change(record));
+    }
+
+    fn tell(&mut self, title: &str, event: EntryEvent) {
+        let at = self.now.as_millis();
+        let _ = writeln!(self.story, "{at} > {title}");
+        let now = Moment::new(self.now, WALL_START + self.now);
+        for action in self.machine.handle(event, now) {
+            self.note(&action);
+        }
+    }
+
+    fn note(&mut self, action: &EntryAction) {
+        let line = match action {
+            EntryAction::Answer { ticket, answer, version, .. } => {
+                format!("answer ticket={ticket} version={version} {}", describe(answer))
+            }
+            EntryAction::Start { address, order } => {
+                let ticket = self.ticket_of(order.task.submission);
+                self.starts.insert((ticket, order.task.index), order.sent_start());
+                format!(
+                    "start at={address} task={} attempt={} version={} permit_until_ms={}",
+                    order.task.index,
+                    order.attempt,
+                    order.version,
+                    order.permit_until.as_millis()
+                )
+            }
+            EntryAction::Ask { address, start, .. } => {
+                format!("ask at={address} task={} attempt={}", start.task.index, start.attempt)
+            }
+            EntryAction::CancelTask { address, task, .. } => {
+                format!("cancel at={address} task={}", task.index)
+            }
+            EntryAction::AppendClaims(steps) => {
+                self.appends.push(!self.loses_claims);
+                if !self.loses_claims {
+                    self.claims.push(steps.clone());
+                }
+                let word = |step: &ClaimStep| match step {
+                    ClaimStep::Claim { submission, .. } => format!("claim:{}", *submission as u64),
+                    ClaimStep::Release { submission, .. } => {
+                        format!("release:{}", *submission as u64)
+                    }
+                };
+                format!("append claims {}", steps.iter().map(word).collect::<Vec<_>>().join(" "))
+            }
+            EntryAction::AppendAccounts(step) => match step {
+                parsleyspool_core::account::AccountStep::Batch(batch) => {
+                    let kinds = batch.records.iter();
+                    let kinds: Vec<_> = kinds
+                        .map(|record| format!("{}:{}", record.sequence, record.error.kind.name()))
+                        .collect();
+                    format!("append accounts {}", kinds.join(" "))
+                }
+                other => format!("append accounts {other:?}"),
+            },
+            EntryAction::AppendSnapshot(_) => "append snapshot".to_owned(),
+            EntryAction::Note(event) => {
+                let text = event.to_string();
+                text.replace("submission=0000000000000001000000000000000", "submission=")
+            }
+        };
+        let _ = writeln!(self.story, "  {line}");
+    }
+
+    fn ticket_of(&self, submission: u128) -> u64 {
+        let found = self.submissions.iter().find(|(_, id)| **id == submission);
+        found.map_or(0, |(ticket, _)| *ticket)
+    }
+
+    pub fn submit(&mut self, ticket: u64, request: &str, tasks: u32) {
+        self.submitted += 1;
+        self.submissions.insert(ticket, submission_id(INCARNATION, self.submitted));
+        let task = |index| TaskRequest {
+            request: request.into(),
+            payload: Bytes::from(format!("p{index}")),
+        };
+        let job = JobRequest {
+            job: "j".into(),
+            team: "t".into(),
+            service: "s".into(),
+            deadline: None,
+            created: Some(WALL_START),
+            tasks: (0..tasks).map(task).collect(),
+        };
+        let title = format!("submit ticket={ticket} request={request} tasks={tasks}");
+        self.tell(&title, EntryEvent::Submit { ticket, request: job });
+    }
+
+    /// Latest start of the task at `index` of the job of `ticket`.
+    pub fn start_of(&self, ticket: u64, index: u32) -> SentStart {
+        self.starts[&(ticket, index)]
+    }
+
+    pub fn reply(&mut self, start: SentStart, reply: TaskReply) {
+        let word = match &reply {
+            TaskReply::Done { .. } => "done",
+            TaskReply::Failed { .. } => "failed",
+            TaskReply::NotStarted(reason) => reason.name(),
+            TaskReply::Pending => "pending",
+            TaskReply::Lost => "lost",
+        };
+        let title = format!("reply task={} attempt={} {word}", start.task.index, start.attempt);
+        self.tell(&title, EntryEvent::Reply { start, reply, load: None });
+    }
+
+    pub fn answer_task(&mut self, ticket: u64, index: u32) {
+        let answer = Bytes::from(format!("answer {index}"));
+        let run_time = Duration::from_millis(80);
+        self.reply(self.start_of(ticket, index), TaskReply::Done { answer, run_time });
+    }
+
+    pub fn answer_all(&mut self) {
+        let starts: Vec<(u64, u32)> = self.starts.keys().copied().collect();
+        for (ticket, index) in starts {
+            self.answer_task(ticket, index);
+        }
+    }
+
+    pub fn fail_task(&mut self, ticket: u64, index: u32) {
+        let run_time = Duration::from_millis(1);
+        self.reply(self.start_of(ticket, index), TaskReply::Failed { run_time });
+    }
+
+    pub fn refuse_task(&mut self, ticket: u64, index: u32, reason: NotStartedReason) {
+        self.reply(self.start_of(ticket, index), TaskReply::NotStarted(reason));
+    }
+
+    pub fn break_exchange(&mut self, start: SentStart, reach: BrokenReach) {
+        let title = format!("broken task={} {reach:?}", start.task.index);
+        self.tell(&title, EntryEvent::Broken { start, reach });
+    }
+
+    pub fn pass_ms(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+        self.tell("tick", EntryEvent::Tick);
+        self.tell("accounts confirmed", EntryEvent::AccountsAppended { is_confirmed: true });
+    }
+
+    pub fn read_log(&mut self) {
+        let from = self.machine.ledger().next_offset();
+        let records = (from..).zip(self.config[from as usize..].iter().cloned()).collect();
+        let read = StreamRead { records, earliest: 0, is_end: true, sent: self.now };
+        self.tell("read config", EntryEvent::ConfigRead(read));
+    }
+
+    pub fn read_claims(&mut self) {
+        for is_confirmed in std::mem::take(&mut self.appends) {
+            let title = format!("claims appended confirmed={is_confirmed}");
+            self.tell(&title, EntryEvent::ClaimsAppended { is_confirmed });
+        }
+        let from = self.machine.next_claim_offset();
+        let records = (from..).zip(self.claims[from as usize..].iter().cloned()).collect();
+        let read = StreamRead { records, earliest: 0, is_end: true, sent: self.now };
+        self.tell("read claims", EntryEvent::ClaimRead(read));
+    }
+
+    /// Whether appends of claims are lost on their way from now on.
+    pub fn set_loses_claims(&mut self, loses_claims: bool) {
+        self.loses_claims = loses_claims;
+    }
+
+    pub fn greet_all(&mut self) {
+        for index in 0..self.servers.len() {
+            self.greet(index);
+        }
+    }
+
+    fn greet(&mut self, index: usize) {
+        let server = &mut self.servers[index];
+        server.sequence += 1;
+        let report = ServerReport {
+            name: server.name.as_str().into(),
+            incarnation: server.incarnation,
+            sequence: server.sequence,
+            address: server.name.as_str().into(),
+            domain: format!("d-{}", server.name).into(),
+            worker: "w".into(),
+            services: vec!["s".into()],
+            slots: 4,
+            load: 0,
+            own: 0,
+            is_leaving: false,
+            clock: self.now,
+            version: 0,
+        };
+        let title = format!("heartbeat of {}", server.name);
+        self.tell(&title, EntryEvent::Report(report));
+    }
+
+    pub fn replace_server(&mut self, name: &str) {
+        let index = self.servers.iter().position(|server| server.name == name);
+        let index = index.expect("a server of that name");
+        self.servers[index].incarnation += 1;
+        self.greet(index);
+    }
+
+    pub fn order_domain(&mut self, domain: &str, is_in_service: bool) {
+        let order = if is_in_service { DomainOrder::InService } else { DomainOrder::OutOfService };
+        self.operate(ConfigChange::OrderDomain { domain: domain.into(), order });
+        self.read_log();
+    }
+
+    pub fn drain(&mut self) {
+        self.tell("drain", EntryEvent::Drain);
+    }
+
+    /// What came and what was decided, one line each.
+    pub fn story(&self) -> &str {
+        &self.story
+    }
+}
+
+fn describe(answer: &JobAnswer) -> String {
+    match answer {
+        JobAnswer::Complete(answers) => {
+            let texts = answers.iter().map(|bytes| String::from_utf8_lossy(bytes).into_owned());
+            format!("complete {}", texts.collect::<Vec<_>>().join(", "))
+        }
+        JobAnswer::Failed(error) => format!(
+            "{} not_run={} limit={} allowed={} actual={}",
+            error.kind.name(),
+            error.not_run,
+            error.figures.limit,
+            error.figures.allowed,
+            error.figures.actual
+        ),
+    }
+}
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -24,9 +24,10 @@
 use parsleyspool_core::agent::AgentMachine;
 use parsleyspool_core::id::Incarnation;
 use parsleyspool_core::lifecycle::LifecycleCharts;
-use parsleyspool_core::timeline::{EventKind, TimelineEvent};
+use parsleyspool_core::timeline::{EventFigure, EventKind, TimelineEvent};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, oneshot};
@@ -51,7 +52,7 @@
     listener: Option<TcpListener>,
     shared: Arc<AgentShared>,
     tasks: Vec<JoinHandle<()>>,
-    stops: Vec<oneshot::Sender<()>>,
+    server: Option<(oneshot::Sender<()>, JoinHandle<()>)>,
 }
 
 /// What the tasks of an agent share.
@@ -65,6 +66,8 @@
     pub word: LifeWord,
     pub address: SocketAddr,
     pub beat: Notify,
+    /// Addresses of the entries that heartbeats go to, by name.
+    pub entries: Mutex<BTreeMap<String, String>>,
 }
 
 /// Mailbox of the actor, in messages.
@@ -127,17 +130,13 @@
         control: telemetry.control,
         word: word.clone(),
         beat: Notify::new(),
+        entries: Mutex::new(BTreeMap::new()),
     });
     shared.recorder.record(TimelineEvent::new(EventKind::ProcessStarted));
     let actor = AgentActor::new(machine, shared.clone());
     let address = xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX));
-    let daemon = AgentDaemon {
-        address,
-        listener: Some(listener),
-        shared,
-        tasks: Vec::new(),
-        stops: Vec::new(),
-    };
+    let daemon =
+        AgentDaemon { address, listener: Some(listener), shared, tasks: Vec::new(), server: None };
     Ok(DaemonLife::new(daemon, word))
 }
 
@@ -159,8 +158,7 @@
             let server = server.incoming(listener).graceful(async move {
                 let _ = stopped.await;
             });
-            daemon.stops.push(stop);
-            daemon.tasks.push(tokio::spawn(server.run()));
+            daemon.server = Some((stop, tokio::spawn(server.run())));
         }
         daemon.tasks.push(tokio::spawn(heartbeat::beat_all(address.clone(), shared)));
         daemon.tasks.push(tokio::spawn(actor::tick(address)));
@@ -171,14 +169,19 @@
     pub fn discard(self) {}
 }
 
+/// Time for starts under way to arrive after every entry has heard of the drain.
+const LINGER: Duration = Duration::from_millis(200);
+/// Time for the listener to write its last replies.
+const SERVER_STOP: Duration = Duration::from_secs(2);
 /// Time between two looks at the progress of a drain.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
 impl DaemonLife<AgentDaemon, Serving> {
-    /// Begins a planned stop: new starts are refused, queued tasks go back, running ones finish.
+    /// Begins a planned stop: new starts are refused, queued tasks go back, running ones finish,
+    /// and every entry is told.
     pub async fn begin_drain(self) -> DaemonLife<AgentDaemon, Draining> {
         let _ = self.parts.address.send(DrainAgent).await;
-        self.parts.shared.beat.notify_waiters();
+        heartbeat::beat_once(&self.parts.address, &self.parts.shared).await;
         self.drain()
     }
 
@@ -187,6 +190,9 @@
         for task in self.parts.tasks.drain(..) {
             task.abort();
         }
+        if let Some((_, server)) = self.parts.server.take() {
+            server.abort();
+        }
     }
 }
 
@@ -201,14 +207,18 @@
             }
             tokio::time::sleep(DRAIN_POLL).await;
         };
-        for stop in self.parts.stops.drain(..) {
+        // Starts that left before their entry heard of the drain are still refused in words.
+        tokio::time::sleep(LINGER).await;
+        if let Some((stop, server)) = self.parts.server.take() {
             let _ = stop.send(());
+            let _ = tokio::time::timeout(SERVER_STOP, server).await;
         }
-        tokio::time::sleep(DRAIN_POLL).await;
         for task in self.parts.tasks.drain(..) {
             task.abort();
         }
-        tracing::info!(event = "process_stopped", unfinished);
+        let stopped = TimelineEvent::new(EventKind::ProcessStopped);
+        let unfinished_tasks = EventFigure::Unfinished(unfinished as u64);
+        self.parts.shared.recorder.record(stopped.figure(unfinished_tasks));
         self.stop(unfinished)
     }
 }
--- a/crates/daemon/src/agent/heartbeat.rs
+++ b/crates/daemon/src/agent/heartbeat.rs
@@ -2,10 +2,11 @@
 
 use super::AgentShared;
 use super::actor::{AgentActor, MakeReport, TakeDirective};
+use futures_util::future::join_all;
 use parsleyspool_core::entry::AgentDirective;
 use parsleyspool_wire::peer::HeartbeatMessage;
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -24,6 +25,7 @@
     let mut known: BTreeMap<String, String> =
         settled.map(|(name, at)| (name.clone(), at.to_string())).collect();
     loop {
+        note_known(&shared, &known);
         for (name, at) in known {
             if beats.get(&name).is_some_and(|(other, _)| *other == at) {
                 continue;
@@ -39,6 +41,22 @@
     }
 }
 
+fn note_known(shared: &AgentShared, known: &BTreeMap<String, String>) {
+    let mut entries = shared.entries.lock().unwrap_or_else(PoisonError::into_inner);
+    entries.extend(known.iter().map(|(name, at)| (name.clone(), at.clone())));
+}
+
+/// Sends one heartbeat to every entry known and waits for the answers.
+pub(crate) async fn beat_once(address: &Address<AgentActor>, shared: &AgentShared) {
+    let entries = shared.entries.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let beats = entries.into_iter().map(|(name, at)| async move {
+        let Ok(report) = address.send(MakeReport(name)).await else { return };
+        let message = HeartbeatMessage::from(&report);
+        let _ = shared.edges.entries.heartbeat(at.as_str().into(), message).await;
+    });
+    join_all(beats).await;
+}
+
 /// Task that ends with its handle.
 struct AbortOnDrop(JoinHandle<()>);
 
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -6,6 +6,7 @@
 
 mod actor;
 mod callers;
+mod members;
 mod operators;
 pub(crate) use operators::set_level;
 mod peers;
@@ -28,12 +29,12 @@
 use parsleyspool_core::entry::{EntryIdentity, EntryMachine};
 use parsleyspool_core::id::Incarnation;
 use parsleyspool_core::lifecycle::LifecycleCharts;
-use parsleyspool_core::timeline::{EventKind, TimelineEvent};
+use parsleyspool_core::timeline::{EventFigure, EventKind, TimelineEvent};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinHandle;
 use xtra::{Address, Mailbox};
 
@@ -53,12 +54,13 @@
 /// Parts of a running entry.
 #[derive(Debug)]
 pub struct EntryDaemon {
+    incarnation: Incarnation,
     address: Address<EntryActor>,
     callers: Option<TcpListener>,
     peers: Option<TcpListener>,
     shared: Arc<EntryShared>,
     tasks: Vec<JoinHandle<()>>,
-    stops: Vec<oneshot::Sender<()>>,
+    server: Option<(oneshot::Sender<()>, JoinHandle<()>)>,
 }
 
 /// What the tasks of an entry share.
@@ -182,12 +184,13 @@
     let parts = EntryParts { machine, shared: shared.clone() };
     let address = xtra::spawn_tokio(EntryActor::new(parts), Mailbox::bounded(MAILBOX));
     let daemon = EntryDaemon {
+        incarnation,
         address,
         callers: Some(callers),
         peers: Some(peers),
         shared,
         tasks: Vec::new(),
-        stops: Vec::new(),
+        server: None,
     };
     Ok(DaemonLife::new(daemon, word))
 }
@@ -216,8 +219,7 @@
             let server = server.graceful(async move {
                 let _ = stopped.await;
             });
-            daemon.stops.push(stop);
-            daemon.tasks.push(tokio::spawn(server.run()));
+            daemon.server = Some((stop, tokio::spawn(server.run())));
         }
         if let Some(listener) = daemon.peers.take() {
             let routes = peers::routes(address.clone(), shared.clone());
@@ -227,14 +229,18 @@
         daemon.tasks.push(tokio::spawn(streams::follow_config(address.clone(), shared.clone())));
         daemon.tasks.push(tokio::spawn(streams::follow_claims(address.clone(), shared.clone())));
         daemon.tasks.push(tokio::spawn(streams::tick(address.clone())));
-        for (name, peer) in shared.settings.peers.clone() {
-            let follow = peers::follow(name, peer, address.clone(), shared.clone());
-            daemon.tasks.push(tokio::spawn(follow));
-        }
+        let (found, members) = watch::channel(members::EntryAddresses::new());
+        let announce = members::announce(daemon.incarnation, shared.clone());
+        daemon.tasks.push(tokio::spawn(announce));
+        daemon.tasks.push(tokio::spawn(members::follow(found, shared.clone())));
+        let talk = members::talk_to_all(members, address.clone(), shared.clone());
+        daemon.tasks.push(tokio::spawn(talk));
         self.serve()
     }
 }
 
+/// Time for the listener to write its last answers.
+const SERVER_STOP: Duration = Duration::from_secs(2);
 /// Time between two looks at the progress of a drain.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -257,14 +263,17 @@
             }
             tokio::time::sleep(DRAIN_POLL).await;
         };
-        for stop in self.parts.stops.drain(..) {
+        members::take_leave(self.parts.incarnation, &self.parts.shared).await;
+        if let Some((stop, server)) = self.parts.server.take() {
             let _ = stop.send(());
+            let _ = tokio::time::timeout(SERVER_STOP, server).await;
         }
-        tokio::time::sleep(DRAIN_POLL).await;
         for task in self.parts.tasks.drain(..) {
             task.abort();
         }
-        tracing::info!(event = "process_stopped", unfinished);
+        let stopped = TimelineEvent::new(EventKind::ProcessStopped);
+        let unfinished_jobs = EventFigure::Unfinished(unfinished as u64);
+        self.parts.shared.recorder.record(stopped.figure(unfinished_jobs));
         self.stop(unfinished)
     }
 }
@@ -275,5 +284,8 @@
         for task in self.parts.tasks.drain(..) {
             task.abort();
         }
+        if let Some((_, server)) = self.parts.server.take() {
+            server.abort();
+        }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/entry/members.rs
@@ -0,0 +1,90 @@
+//! Entries that announce themselves in the log, and the exchange with each of them.
+
+use super::EntryShared;
+use super::actor::EntryActor;
+use super::peers;
+use super::streams::{READ_LIMIT, READ_RETRY};
+use bytes::Bytes;
+use parsleyspool_core::id::Incarnation;
+use parsleyspool_core::member::{MemberLedger, MemberRecord, MemberStep};
+use parsleyspool_wire::record::{MEMBER_STREAM, decode_member, encode_member};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use xtra::Address;
+
+/// Time before an announcement that the log did not confirm is made again.
+const ANNOUNCE_RETRY: Duration = Duration::from_secs(1);
+
+/// Peer addresses of the entries, by name.
+pub(crate) type EntryAddresses = BTreeMap<String, String>;
+
+/// Announces this entry, and again before the record expires.
+pub(crate) async fn announce(incarnation: Incarnation, shared: Arc<EntryShared>) {
+    let step = MemberStep::Present(shared.peer_address.to_string().into());
+    loop {
+        let wait = match append(incarnation, step.clone(), &shared).await {
+            true => shared.settings.log.retention / 4,
+            false => ANNOUNCE_RETRY,
+        };
+        tokio::time::sleep(wait).await;
+    }
+}
+
+/// Announces that this entry stops as planned; nothing is promised.
+pub(crate) async fn take_leave(incarnation: Incarnation, shared: &EntryShared) {
+    append(incarnation, MemberStep::Gone, shared).await;
+}
+
+async fn append(incarnation: Incarnation, step: MemberStep, shared: &EntryShared) -> bool {
+    let entry = shared.settings.name.as_str().into();
+    let record = MemberRecord { entry, incarnation, step };
+    let Ok(bytes) = encode_member(&record) else { return true };
+    shared.edges.log.append(MEMBER_STREAM, Bytes::from(bytes)).await.is_ok()
+}
+
+/// Follows the member stream and publishes the addresses of the other entries.
+pub(crate) async fn follow(found: watch::Sender<EntryAddresses>, shared: Arc<EntryShared>) {
+    let mut ledger = MemberLedger::new();
+    loop {
+        let wait = shared.settings.log.wait;
+        let read = shared.edges.log.read(MEMBER_STREAM, ledger.next_offset(), READ_LIMIT, wait);
+        let Ok(page) = read.await else {
+            tokio::time::sleep(READ_RETRY).await;
+            continue;
+        };
+        ledger.note_earliest(page.earliest);
+        let records = page.records.iter();
+        let records =
+            records.filter_map(|(offset, bytes)| Some((*offset, decode_member(bytes).ok()?)));
+        let changes = records.filter(|(offset, record)| ledger.apply(*offset, record.clone()));
+        if changes.count() > 0 {
+            let addresses = ledger.addresses().into_iter();
+            let addresses = addresses.map(|(name, at)| (name.to_string(), at.to_string()));
+            found.send_replace(addresses.collect());
+        }
+    }
+}
+
+/// Talks to every other entry of the settings and of the log.
+pub(crate) async fn talk_to_all(
+    mut found: watch::Receiver<EntryAddresses>,
+    address: Address<EntryActor>,
+    shared: Arc<EntryShared>,
+) {
+    loop {
+        let mut known: EntryAddresses =
+            shared.settings.peers.iter().map(|(name, at)| (name.clone(), at.to_string())).collect();
+        known.extend(found.borrow_and_update().clone());
+        known.remove(&shared.settings.name);
+        let mut talks = JoinSet::new();
+        for (name, at) in known {
+            talks.spawn(peers::follow(name, at, address.clone(), shared.clone()));
+        }
+        if found.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/daemon/src/entry/peers.rs
+++ b/crates/daemon/src/entry/peers.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use parsleyspool_wire::peer::{Envelope, HeartbeatMessage, PeerQuestion};
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use warp::http::StatusCode;
@@ -66,7 +65,7 @@
 /// Asks another entry for its state for as long as the actor lives.
 pub(crate) async fn follow(
     name: String,
-    peer: SocketAddr,
+    peer: String,
     address: Address<EntryActor>,
     shared: Arc<EntryShared>,
 ) {
@@ -78,9 +77,9 @@
             wants_state: !position.is_whole,
         };
         let asked = shared.edges.clock.now().elapsed;
-        let answer = shared.edges.entries.state(peer.to_string().into(), question).await;
+        let answer = shared.edges.entries.state(peer.as_str().into(), question).await;
         if let Some(answer) = answer.filter(|answer| answer.entry == name) {
-            let heard = PeerHeard { address: peer.to_string(), answer, asked };
+            let heard = PeerHeard { address: peer.clone(), answer, asked };
             let _ = address.send(heard).await;
         }
         let poked = shared.poke.notified();
--- a/crates/daemon/src/entry/streams.rs
+++ b/crates/daemon/src/entry/streams.rs
@@ -12,9 +12,9 @@
 use xtra::Address;
 
 /// Most records in one read.
-const READ_LIMIT: usize = 1000;
+pub(crate) const READ_LIMIT: usize = 1000;
 /// Time before a failed read is made again.
-const READ_RETRY: Duration = Duration::from_millis(100);
+pub(crate) const READ_RETRY: Duration = Duration::from_millis(100);
 
 /// Follows the configuration stream for as long as the actor lives.
 ///
--- /dev/null
+++ b/crates/questionnaire/src/generate.rs
@@ -0,0 +1,181 @@
+//! Configuration and settings generated from a team's answers.
+
+use super::answers::{EntryAnswer, RequestAnswer, ServerAnswer, TeamAnswers, TeamPriority};
+use parsleyspool_daemon::settings::{
+    AgentLimitSettings, AgentSettings, BackendSettings, EntryLimitSettings, EntryListen,
+    EntrySettings, LogSettings, ProcessSettings, TelemetrySettings,
+};
+use parsleyspool_wire::settings::{ChangeWire, OrderWire, QuotaWire, RequestWire, ServiceWire};
+use std::time::Duration;
+
+/// Settings of one process under the name of their file.
+#[derive(Debug, Clone)]
+pub struct SettingsFile {
+    /// Name of the file.
+    pub name: String,
+    /// Settings.
+    pub settings: ProcessSettings,
+}
+
+/// What follows from a team's answers.
+#[derive(Debug, Clone)]
+pub struct GeneratedDeployment {
+    /// Changes that an operator applies, in this order.
+    pub changes: Vec<ChangeWire>,
+    /// Settings of every process.
+    pub settings: Vec<SettingsFile>,
+    /// What follows from which answer, one sentence a line.
+    pub explanation: Vec<String>,
+}
+
+/// Time for an append or read of the log.
+const LOG_TIMEOUT: Duration = Duration::from_secs(1);
+/// Wait of a read at the end of a stream.
+const LOG_WAIT: Duration = Duration::from_millis(500);
+/// Bound of a planned stop.
+const DRAIN: Duration = Duration::from_secs(30);
+/// Time after which a backend server's answer is given up.
+const BACKEND_TIMEOUT: Duration = Duration::from_secs(60);
+/// Largest answer in bytes.
+const ANSWER_BYTES: usize = 1 << 20;
+
+/// Deployment that `answers` ask for; the answers should have no faults.
+pub fn generate(answers: &TeamAnswers) -> GeneratedDeployment {
+    let entries = answers.entries.iter().enumerate();
+    let entries = entries.map(|(index, entry)| SettingsFile {
+        name: format!("{}.entry.yaml", entry.name),
+        settings: ProcessSettings::Entry(Box::new(entry_settings(answers, index, entry))),
+    });
+    let agents = answers.servers.iter().map(|server| SettingsFile {
+        name: format!("{}.agent.yaml", server.name),
+        settings: ProcessSettings::Agent(Box::new(agent_settings(answers, server))),
+    });
+    GeneratedDeployment {
+        changes: changes(answers),
+        settings: entries.chain(agents).collect(),
+        explanation: explain(answers),
+    }
+}
+
+fn changes(answers: &TeamAnswers) -> Vec<ChangeWire> {
+    let electorate = ChangeWire::SetElectorate {
+        entries: answers.entries.iter().map(|entry| entry.name.clone()).collect(),
+    };
+    let quota = ChangeWire::SetQuota {
+        team: answers.team.clone(),
+        quota: QuotaWire {
+            tasks_in_flight: answers.quota.tasks_in_flight,
+            weight: answers.quota.weight,
+        },
+    };
+    let domains = answers.domains.iter().map(|domain| ChangeWire::OrderDomain {
+        domain: domain.clone(),
+        order: OrderWire::InService,
+    });
+    let services = answers.services.iter().map(|(name, service)| {
+        let requests = service.requests.iter();
+        let spec = ServiceWire {
+            team: answers.team.clone(),
+            deadline: service.deadline,
+            requests: requests.map(|(name, answer)| (name.clone(), rule(answer))).collect(),
+        };
+        ChangeWire::PutService { name: name.clone(), spec }
+    });
+    [electorate, quota].into_iter().chain(domains).chain(services).collect()
+}
+
+fn rule(answer: &RequestAnswer) -> RequestWire {
+    RequestWire { idempotent: answer.idempotent, run_time: answer.run_time, slots: answer.slots }
+}
+
+fn limits(answers: &TeamAnswers) -> EntryLimitSettings {
+    let limits = EntryLimitSettings::default();
+    match answers.priority {
+        TeamPriority::ResponseTime => limits,
+        TeamPriority::WorkDuringChanges => {
+            EntryLimitSettings { ahead: limits.ahead + 1, ramp: limits.ramp / 2, ..limits }
+        }
+    }
+}
+
+fn entry_settings(answers: &TeamAnswers, index: usize, entry: &EntryAnswer) -> EntrySettings {
+    let others = answers.entries.iter().filter(|other| other.name != entry.name);
+    EntrySettings {
+        name: entry.name.clone(),
+        domain: entry.domain.clone(),
+        rank: u32::try_from(index).unwrap_or(u32::MAX),
+        listen: EntryListen { callers: entry.callers, peers: entry.peers },
+        log: LogSettings {
+            url: answers.log.url.clone(),
+            timeout: LOG_TIMEOUT,
+            wait: LOG_WAIT,
+            retention: answers.log.retention,
+        },
+        peers: others.map(|other| (other.name.clone(), other.peers)).collect(),
+        limits: limits(answers),
+        telemetry: TelemetrySettings::default(),
+        drain: DRAIN,
+    }
+}
+
+fn agent_settings(answers: &TeamAnswers, server: &ServerAnswer) -> AgentSettings {
+    let entries = answers.entries.iter();
+    AgentSettings {
+        name: server.name.clone(),
+        domain: server.domain.clone(),
+        worker: server.worker.clone(),
+        listen: server.agent,
+        entries: entries.map(|entry| (entry.name.clone(), entry.peers)).collect(),
+        backend: BackendSettings {
+            url: server.url.clone(),
+            services: server.services.clone(),
+            slots: server.slots,
+            connections: server.connections,
+            timeout: BACKEND_TIMEOUT,
+            answer_bytes: ANSWER_BYTES,
+        },
+        limits: AgentLimitSettings { queue: server.slots, ..AgentLimitSettings::default() },
+        telemetry: TelemetrySettings::default(),
+        drain: DRAIN,
+    }
+}
+
+fn explain(answers: &TeamAnswers) -> Vec<String> {
+    let mut lines = vec![format!(
+        "quota: at most {} tasks of {} are accepted and unanswered at once",
+        answers.quota.tasks_in_flight, answers.team
+    )];
+    let voters = answers.entries.len();
+    lines.push(format!(
+        "entries: {voters} vote; a change is accepted once {} hold it, and as many must talk to \
+         each other to go on during an outage of the log",
+        voters / 2 + 1
+    ));
+    for (name, service) in &answers.services {
+        for (request, answer) in &service.requests {
+            lines.push(explain_request(name, request, answer));
+        }
+        let servers = answers.servers.iter().filter(|server| server.services.contains(name));
+        let slots: u32 = servers.map(|server| server.slots).sum();
+        lines.push(format!("services.{name}: {slots} slots in all"));
+    }
+    let limits = limits(answers);
+    lines.push(format!(
+        "priority: {} slots are filled ahead at each server, and a returning failure domain is \
+         filled within {}",
+        limits.ahead,
+        humantime::format_duration(limits.ramp)
+    ));
+    lines
+}
+
+fn explain_request(service: &str, request: &str, answer: &RequestAnswer) -> String {
+    let place = format!("services.{service}.requests.{request}");
+    if answer.idempotent {
+        return format!("{place}: idempotent, so it is started without a claim in the log");
+    }
+    format!(
+        "{place}: non-idempotent, so it runs at most once for each request key and waits for one \
+         append to the log first"
+    )
+}
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -9,6 +9,7 @@
 use parsleyspool_core::claim::ClaimStep;
 use parsleyspool_core::config::{ConfigRecord, ConfigSnapshot};
 use parsleyspool_core::id::{Incarnation, format_id, parse_id};
+use parsleyspool_core::member::{MemberRecord, MemberStep};
 use serde::{Deserialize, Serialize};
 
 /// Name of the configuration stream.
@@ -18,6 +19,9 @@
 /// Name of the account stream.
 pub const ACCOUNT_STREAM: &str = "accounts";
 
+/// Name of the member stream.
+pub const MEMBER_STREAM: &str = "members";
+
 /// Number of the record formats in this module.
 const FORMAT: u16 = 1;
 
@@ -223,3 +227,34 @@
 pub fn decode_account(bytes: &[u8]) -> Result<AccountRecordWire, CodecError> {
     decode_record(bytes)
 }
+
+/// Record of the member stream; without an address the entry is gone.
+#[derive(Debug, Serialize, Deserialize)]
+struct MemberRecordWire {
+    entry: String,
+    incarnation: u64,
+    address: Option<String>,
+}
+
+/// Bytes of a member record.
+///
+/// # Errors
+/// Fails where the record is over [`MAX_RECORD_BYTES`].
+pub fn encode_member(record: &MemberRecord) -> Result<Vec<u8>, CodecError> {
+    let address = match &record.step {
+        MemberStep::Present(address) => Some(address.to_string()),
+        MemberStep::Gone => None,
+    };
+    let (entry, incarnation) = (record.entry.to_string(), record.incarnation);
+    encode_record(&MemberRecordWire { entry, incarnation, address })
+}
+
+/// Member record from its bytes.
+///
+/// # Errors
+/// Fails where the bytes are no member record.
+pub fn decode_member(bytes: &[u8]) -> Result<MemberRecord, CodecError> {
+    let wire: MemberRecordWire = decode_record(bytes)?;
+    let step = wire.address.map_or(MemberStep::Gone, |at| MemberStep::Present(at.into()));
+    Ok(MemberRecord { entry: wire.entry.into(), incarnation: wire.incarnation, step })
+}
