Test the small parts, decoders, settings and edges, and follow the connection chart

Found on the way: a member record that cannot be decoded was read again without end (it is passed over now); a suspect connection was a private map and not the committed chart (connection.rs follows the chart). Conclusion: the edges refuse in words and go on.

--- /dev/null
+++ b/crates/core/examples/config_ledger.rs
@@ -0,0 +1,33 @@
+//! Embeds the configuration fold without the daemons.
+//!
+//! Two operators change the same failure domain at once; a reader that starts later, when the first
+//! records have expired, reaches the same state from a snapshot.
+//!
+//! Run it with `cargo run -p parsleyspool-core --example config_ledger`.
+
+use parsleyspool_core::config::{
+    ChangeRecord, ConfigChange, ConfigLedger, ConfigRecord, DomainOrder,
+};
+
+fn order(id: u128, operator: &str, order: DomainOrder) -> ConfigRecord {
+    let change = ConfigChange::OrderDomain { domain: "coast".into(), order };
+    ConfigRecord::Change(ChangeRecord { id, operator: operator.to_owned(), base: 0, change })
+}
+
+fn main() {
+    let records =
+        [order(1, "ana", DomainOrder::OutOfService), order(2, "bo", DomainOrder::InService)];
+
+    let mut early = ConfigLedger::new();
+    for (offset, record) in (0..).zip(records) {
+        println!("offset={offset} outcome={:?}", early.apply(offset, record));
+    }
+    let snapshot = early.snapshot().expect("the state is whole");
+
+    let mut late = ConfigLedger::new();
+    late.note_earliest(2);
+    println!("late reader whole={}", late.is_whole());
+    println!("offset=2 outcome={:?}", late.apply(2, ConfigRecord::Snapshot(snapshot)));
+    println!("in service here={}", early.configuration().is_in_service("coast"));
+    println!("in service there={}", late.configuration().is_in_service("coast"));
+}
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -54,6 +54,11 @@
         self.next = self.next.max(earliest);
     }
 
+    /// Passes over a record that cannot be decoded.
+    pub fn skip(&mut self, offset: Offset) {
+        self.next = self.next.max(offset + 1);
+    }
+
     /// Folds the record at `offset`; returns whether the members changed.
     pub fn apply(&mut self, offset: Offset, record: MemberRecord) -> bool {
         if offset < self.next {
--- /dev/null
+++ b/crates/core/tests/parts.rs
@@ -0,0 +1,264 @@
+//! Small parts of the library, each by itself.
+
+use parsleyspool_core::account::{
+    AccountAudit, AccountStep, AuditEnd, AuditStep, RefusalBook, RefusalRecord,
+};
+use parsleyspool_core::claim::{ClaimLedger, ClaimStep, ClaimVerdict};
+use parsleyspool_core::config::{
+    ApplyOutcome, ChangeRecord, ConfigChange, ConfigLedger, ConfigRecord, DomainOrder,
+    SnapshotSchedule,
+};
+use parsleyspool_core::error::{ErrorKind, JobError};
+use parsleyspool_core::freshness::{FreshnessLease, FreshnessVerdict, PeerReport};
+use parsleyspool_core::id::TaskId;
+use parsleyspool_core::member::{MemberLedger, MemberRecord, MemberStep};
+use parsleyspool_core::queue::TeamQueue;
+use parsleyspool_core::retry::RetryBudget;
+use parsleyspool_core::time::{HybridClock, Moment, Stamp};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn order(id: u128, base: u64, order: DomainOrder) -> ConfigRecord {
+    let change = ConfigChange::OrderDomain { domain: "d".into(), order };
+    ConfigRecord::Change(ChangeRecord { id, operator: "o".to_owned(), base, change })
+}
+
+#[test]
+fn of_two_racing_changes_one_wins_and_the_other_is_told() {
+    let mut ledger = ConfigLedger::new();
+
+    let first = ledger.apply(0, order(1, 0, DomainOrder::OutOfService));
+    let second = ledger.apply(1, order(2, 0, DomainOrder::InService));
+
+    assert_eq!(first, ApplyOutcome::Accepted { version: 1 });
+    assert_eq!(second, ApplyOutcome::Rejected { current: 1 });
+    assert!(!ledger.configuration().is_in_service("d"));
+}
+
+#[test]
+fn a_change_appended_twice_keeps_its_first_outcome() {
+    let mut ledger = ConfigLedger::new();
+
+    ledger.apply(0, order(1, 0, DomainOrder::OutOfService));
+    ledger.apply(1, order(1, 0, DomainOrder::OutOfService));
+
+    assert_eq!(ledger.outcome(1), Some(&ApplyOutcome::Accepted { version: 1 }));
+}
+
+#[test]
+fn a_snapshot_never_undoes_a_change_that_raced_with_it() {
+    let mut writer = ConfigLedger::new();
+    writer.apply(0, order(1, 0, DomainOrder::InService));
+    let snapshot = writer.snapshot().expect("the state is whole");
+
+    let mut reader = ConfigLedger::new();
+    reader.note_earliest(1);
+    reader.apply(1, order(2, 1, DomainOrder::OutOfService));
+    assert!(!reader.is_whole());
+    reader.apply(2, ConfigRecord::Snapshot(snapshot));
+
+    assert!(reader.is_whole());
+    assert!(!reader.configuration().is_in_service("d"));
+    assert_eq!(reader.configuration().version, 3);
+}
+
+#[test]
+fn an_old_snapshot_from_a_peer_changes_nothing() {
+    let old = ConfigLedger::new().snapshot().expect("the state is whole");
+    let mut ledger = ConfigLedger::new();
+    ledger.apply(0, order(1, 0, DomainOrder::OutOfService));
+
+    let outcome = ledger.adopt(old);
+
+    assert_eq!(outcome, ApplyOutcome::Unchanged);
+    assert!(!ledger.configuration().is_in_service("d"));
+}
+
+#[test]
+fn a_snapshot_is_due_before_records_expire_and_once() {
+    let mut schedule = SnapshotSchedule::new(10, seconds(400), seconds(2));
+
+    assert!(!schedule.is_due(None, 1, seconds(0)));
+    assert!(!schedule.is_due(None, 1, seconds(100)), "the delay of this process");
+    assert!(schedule.is_due(None, 1, seconds(102)));
+    assert!(!schedule.is_due(None, 1, seconds(103)), "one is on its way");
+    assert!(!schedule.is_due(Some(1), 2, seconds(104)));
+    assert!(schedule.is_due(Some(1), 2, seconds(206)) || schedule.is_due(Some(1), 2, seconds(210)));
+}
+
+#[test]
+fn the_first_claim_in_the_log_holds_until_released() {
+    let mut ledger = ClaimLedger::new(seconds(600));
+    let claim = |submission| ClaimStep::Claim { key: 9, submission };
+
+    let first = ledger.apply(0, &[claim(1), claim(2)], seconds(0));
+    ledger.apply(1, &[ClaimStep::Release { key: 9, submission: 1 }], seconds(1));
+    let third = ledger.apply(2, &[claim(3)], seconds(2));
+
+    let lost = ClaimVerdict::Lost { submission: 2, holder: 1 };
+    assert_eq!(first, [ClaimVerdict::Won { submission: 1 }, lost]);
+    assert_eq!(third, [ClaimVerdict::Won { submission: 3 }]);
+}
+
+fn report(entry: &str, version: u64, voter: bool) -> PeerReport {
+    PeerReport { entry: entry.into(), version, voter, confirmed_age: None }
+}
+
+#[test]
+fn freshness_needs_the_log_or_a_majority_that_holds_nothing_newer() {
+    let electorate: BTreeSet<_> = ["a".into(), "b".into(), "c".into()].into();
+    let lease = || {
+        let mut lease = FreshnessLease::new("a".into(), seconds(3));
+        lease.confirm(seconds(10));
+        lease
+    };
+    let cases = [
+        ("alone", None, FreshnessVerdict::Lapsed),
+        ("agreed", Some(report("b", 5, true)), FreshnessVerdict::Agreed { until: seconds(22) }),
+        ("behind", Some(report("b", 6, true)), FreshnessVerdict::Lapsed),
+        ("no voter", Some(report("b", 5, false)), FreshnessVerdict::Lapsed),
+    ];
+
+    for (name, report, expected) in cases {
+        let mut lease = lease();
+        if let Some(report) = report {
+            lease.hear(report, seconds(19));
+        }
+        assert_eq!(lease.judge(5, &electorate, seconds(20)), expected, "{name}");
+    }
+}
+
+#[test]
+fn a_confirmation_of_another_entry_counts_for_its_version() {
+    let mut lease = FreshnessLease::new("a".into(), seconds(3));
+    let confirmed_age = Some(seconds(1));
+    lease.hear(PeerReport { confirmed_age, ..report("b", 5, true) }, seconds(20));
+
+    let electorate = BTreeSet::new();
+    assert_eq!(
+        lease.judge(5, &electorate, seconds(20)),
+        FreshnessVerdict::Confirmed { until: seconds(22) }
+    );
+    assert_eq!(lease.judge(4, &electorate, seconds(20)), FreshnessVerdict::Lapsed);
+}
+
+fn refusal() -> RefusalRecord {
+    RefusalRecord {
+        sequence: 0,
+        wall: Duration::ZERO,
+        submission: 1,
+        job: "j".into(),
+        team: "t".into(),
+        service: "s".into(),
+        tasks: 1,
+        error: JobError::plain(ErrorKind::Overloaded),
+        version: 1,
+    }
+}
+
+#[test]
+fn refusals_leave_in_batches_and_a_drop_shows_as_a_gap() {
+    let mut book = RefusalBook::new(3, 2);
+    for _ in 0..4 {
+        book.add(refusal());
+    }
+    let mut audit = AccountAudit::new();
+    let mut take = |step: &AccountStep| {
+        let step = match step {
+            AccountStep::Opened => AuditStep::Opened,
+            AccountStep::Batch(batch) => {
+                AuditStep::Numbers(batch.records.iter().map(|record| record.sequence).collect())
+            }
+            AccountStep::Closed { next } => AuditStep::Closed(*next),
+        };
+        audit.take(&"e".into(), 1, &step);
+    };
+
+    book.close();
+    book.retry();
+    let mut steps = 0;
+    while let Some(step) = book.take_step() {
+        take(&step);
+        book.confirm();
+        steps += 1;
+        if book.is_closed() {
+            break;
+        }
+    }
+
+    assert_eq!(steps, 3, "two batches and the closing record");
+    let incarnation = audit.incarnations().remove(0);
+    assert_eq!(incarnation.gaps, vec![std::ops::Range { start: 0, end: 1 }]);
+    assert_eq!(incarnation.end, AuditEnd::Closed);
+}
+
+#[test]
+fn teams_share_a_freed_slot_by_weight() {
+    let mut queue = TeamQueue::new();
+    for index in 0..30 {
+        queue.push(&"heavy".into(), &"h".into(), TaskId::new(1, index));
+        queue.push(&"light".into(), &"l".into(), TaskId::new(2, index));
+    }
+    let services = ["heavy".into(), "light".into()];
+
+    let weight = |team: &parsleyspool_core::id::TeamName| if **team == *"h" { 3 } else { 1 };
+    let taken = (0..20).filter_map(|_| queue.pop(&services, weight));
+    let heavy = taken.filter(|task| task.submission == 1).count();
+
+    assert_eq!(heavy, 15);
+}
+
+#[test]
+fn retries_stay_a_fraction_of_first_attempts() {
+    let mut budget = RetryBudget::new(0.1, 5);
+
+    let spent = (0..1000).filter(|_| {
+        budget.earn();
+        budget.spend()
+    });
+
+    assert!((100..=106).contains(&spent.count()));
+}
+
+#[test]
+fn a_late_record_of_a_replaced_entry_does_not_bring_it_back() {
+    let mut ledger = MemberLedger::new();
+    let present = |incarnation, at: &str| MemberRecord {
+        entry: "e".into(),
+        incarnation,
+        step: MemberStep::Present(at.into()),
+    };
+
+    ledger.apply(0, present(1, "old"));
+    ledger.apply(1, present(2, "new"));
+    let is_changed = ledger.apply(2, present(1, "old"));
+
+    assert!(!is_changed);
+    assert_eq!(&*ledger.addresses()["e"], "new");
+}
+
+#[test]
+fn a_stamp_of_an_answer_follows_the_stamp_of_its_question() {
+    let (mut ahead, mut behind) = (HybridClock::default(), HybridClock::default());
+    let at = |wall| Moment::new(Duration::ZERO, Duration::from_millis(wall));
+
+    let question = ahead.tick(at(5_000));
+    behind.observe(question, at(1_000));
+    let answer = behind.tick(at(1_000));
+
+    assert!(answer > question);
+}
+
+#[test]
+fn a_broken_clock_does_not_move_the_others() {
+    let mut clock = HybridClock::default();
+    let now = Moment::new(Duration::ZERO, seconds(100));
+
+    clock.observe(Stamp { wall_us: 10_000_000_000, count: 0 }, now);
+
+    assert_eq!(clock.tick(now), Stamp { wall_us: 100_000_000, count: 0 });
+}
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -92,6 +92,20 @@
     settings: AgentSettings,
     control: LogControl,
     clock: Arc<dyn ClockSource>,
+) -> Result<DaemonLife<AgentDaemon, Starting>, Report<DaemonError>> {
+    let listener = bind(settings.listen).await?;
+    start_on(listener, settings, control, clock)
+}
+
+/// Agent on a listener that is bound already, over HTTP on all sides.
+///
+/// # Errors
+/// Fails where a client cannot be built.
+pub fn start_on(
+    listener: TcpListener,
+    settings: AgentSettings,
+    control: LogControl,
+    clock: Arc<dyn ClockSource>,
 ) -> Result<DaemonLife<AgentDaemon, Starting>, Report<DaemonError>> {
     let incarnation: Incarnation = rand::random();
     let metrics = Arc::new(DaemonMetrics::new()?);
@@ -104,21 +118,21 @@
     let exchange = Arc::new(HttpExchange::new(recorder.clone(), metrics.clone())?);
     let edges = AgentEdges { clock, backend: Arc::new(backend), entries: exchange };
     let telemetry = AgentTelemetry { recorder, metrics, control };
-    start_with(settings, edges, incarnation, telemetry).await
+    start_with(listener, settings, edges, incarnation, telemetry)
 }
 
 /// Agent on other edges; for embedders and benches.
 ///
 /// # Errors
-/// Fails where a state chart is wrong or the listener cannot be bound.
-pub async fn start_with(
+/// Fails where a state chart is wrong.
+pub fn start_with(
+    listener: TcpListener,
     settings: AgentSettings,
     edges: AgentEdges,
     incarnation: Incarnation,
     telemetry: AgentTelemetry,
 ) -> Result<DaemonLife<AgentDaemon, Starting>, Report<DaemonError>> {
     LifecycleCharts::load().change_context(DaemonError::Charts)?;
-    let listener = bind(settings.listen).await?;
     let word = LifeWord::starting();
     let machine = AgentMachine::new(incarnation, settings.agent_limits());
     let shared = Arc::new(AgentShared {
--- a/crates/daemon/src/agent/actor.rs
+++ b/crates/daemon/src/agent/actor.rs
@@ -141,7 +141,7 @@
             name: settings.name.as_str().into(),
             incarnation: self.machine.incarnation(),
             sequence: self.sequence,
-            address: self.shared.address.to_string().into(),
+            address: settings.advertise.unwrap_or(self.shared.address).to_string().into(),
             domain: settings.domain.as_str().into(),
             worker: settings.worker.as_str().into(),
             services: settings.backend.services.iter().map(|name| name.as_str().into()).collect(),
--- /dev/null
+++ b/crates/daemon/src/connection.rs
@@ -0,0 +1,95 @@
+//! State of the exchange with each peer, by its chart.
+//!
+//! An open connection may be silent for good while new ones work. After an exchange broke or timed
+//! out the peer is suspect: everything to it goes over new connections, until the pool has dropped
+//! every idle one and an answer came.
+
+use parsleyspool_core::id::PeerAddress;
+use parsleyspool_core::lifecycle::{ConnectionEvent, ConnectionState, LifecycleCharts};
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
+
+#[derive(Debug, Clone, Copy)]
+struct PeerConnection {
+    state: ConnectionState,
+    since: Instant,
+}
+
+/// States of all peers.
+#[derive(Debug)]
+pub struct PeerConnections {
+    peers: Mutex<HashMap<PeerAddress, PeerConnection>>,
+    suspect_for: Duration,
+}
+
+/// Peers remembered; beyond, those heard from longest ago are forgotten.
+const PEERS_KEPT: usize = 20_000;
+
+impl PeerConnections {
+    /// States of no peer; a suspect one stays so for at least `suspect_for`.
+    pub fn new(suspect_for: Duration) -> Self {
+        Self { peers: Mutex::new(HashMap::new()), suspect_for }
+    }
+
+    fn peers(&self) -> MutexGuard<'_, HashMap<PeerAddress, PeerConnection>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether messages to `address` need a new connection.
+    pub fn is_suspect(&self, address: &PeerAddress) -> bool {
+        let peers = self.peers();
+        peers.get(address).is_some_and(|peer| peer.state == ConnectionState::Suspect)
+    }
+
+    /// Takes note of an answer or of one overdue.
+    pub fn note(&self, address: &PeerAddress, event: ConnectionEvent) {
+        let chart = &LifecycleCharts::shared().connection;
+        let now = Instant::now();
+        let mut peers = self.peers();
+        let known = peers.get(address).copied();
+        let known = known.unwrap_or(PeerConnection { state: chart.initial(), since: now });
+        let is_recent = now.duration_since(known.since) < self.suspect_for;
+        let is_answer = event == ConnectionEvent::Answer;
+        if known.state == ConnectionState::Suspect && is_answer && is_recent {
+            return;
+        }
+        let Ok(state) = chart.next(known.state, event) else { return };
+        if peers.len() >= PEERS_KEPT && !peers.contains_key(address) {
+            Self::forget_oldest(&mut peers);
+        }
+        peers.insert(address.clone(), PeerConnection { state, since: now });
+    }
+
+    fn forget_oldest(peers: &mut HashMap<PeerAddress, PeerConnection>) {
+        let oldest = peers.iter().min_by_key(|(_, peer)| peer.since);
+        if let Some(address) = oldest.map(|(address, _)| address.clone()) {
+            peers.remove(&address);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::PeerConnections;
+    use parsleyspool_core::lifecycle::ConnectionEvent::{Answer, Timeout};
+    use std::time::Duration;
+
+    #[tokio::test(start_paused = true)]
+    async fn a_suspect_peer_is_trusted_after_its_time_and_an_answer() {
+        let connections = PeerConnections::new(Duration::from_secs(5));
+        let peer = "127.0.0.1:1".into();
+
+        connections.note(&peer, Timeout);
+        connections.note(&peer, Answer);
+        let is_suspect_at_once = connections.is_suspect(&peer);
+        tokio::time::advance(Duration::from_secs(6)).await;
+        let is_suspect_unheard = connections.is_suspect(&peer);
+        connections.note(&peer, Answer);
+
+        assert!(is_suspect_at_once);
+        assert!(is_suspect_unheard);
+        assert!(!connections.is_suspect(&peer));
+    }
+}
--- a/crates/daemon/src/entry/members.rs
+++ b/crates/daemon/src/entry/members.rs
@@ -56,11 +56,14 @@
             continue;
         };
         ledger.note_earliest(page.earliest);
-        let records = page.records.iter();
-        let records =
-            records.filter_map(|(offset, bytes)| Some((*offset, decode_member(bytes).ok()?)));
-        let changes = records.filter(|(offset, record)| ledger.apply(*offset, record.clone()));
-        if changes.count() > 0 {
+        let mut is_changed = false;
+        for (offset, bytes) in &page.records {
+            match decode_member(bytes) {
+                Ok(record) => is_changed |= ledger.apply(*offset, record),
+                Err(_) => ledger.skip(*offset),
+            }
+        }
+        if is_changed {
             let addresses = ledger.addresses().into_iter();
             let addresses = addresses.map(|(name, at)| (name.to_string(), at.to_string()));
             found.send_replace(addresses.collect());
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -5,6 +5,7 @@
 //! new ones work. After an exchange with a peer broke, everything to that peer goes over new
 //! connections until the pool has dropped its idle ones.
 
+use crate::connection::PeerConnections;
 use crate::edge::{AgentPeer, EntryPeer};
 use crate::error::DaemonError;
 use crate::http::MESSAGE_TYPE;
@@ -15,6 +16,7 @@
 use futures_util::future::BoxFuture;
 use parsleyspool_core::entry::BrokenReach;
 use parsleyspool_core::id::PeerAddress;
+use parsleyspool_core::lifecycle::ConnectionEvent;
 use parsleyspool_wire::codec::{MAX_MESSAGE_BYTES, decode, encode};
 use parsleyspool_wire::peer::{
     AskMessage, CancelMessage, DirectiveMessage, Envelope, HeartbeatMessage, PeerQuestion,
@@ -23,12 +25,10 @@
 use reqwest::Client;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use std::collections::HashMap;
 use std::error::Error as _;
 use std::io::ErrorKind as IoErrorKind;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -53,7 +53,7 @@
 pub struct HttpExchange {
     pooled: Client,
     direct: Client,
-    suspects: Mutex<HashMap<PeerAddress, Instant>>,
+    connections: PeerConnections,
     recorder: Arc<EventRecorder>,
     metrics: Arc<DaemonMetrics>,
 }
@@ -74,30 +74,19 @@
         Ok(Self {
             pooled: pooled.change_context(DaemonError::Client)?,
             direct: direct.change_context(DaemonError::Client)?,
-            suspects: Mutex::new(HashMap::new()),
+            connections: PeerConnections::new(POOL_IDLE),
             recorder,
             metrics,
         })
     }
 
     fn client(&self, address: &PeerAddress, route: RouteKind) -> &Client {
-        let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_suspect = suspects.get(address).is_some_and(|&until| until > Instant::now());
-        if !is_suspect {
-            suspects.remove(address);
-        }
         match route {
-            RouteKind::Pooled if !is_suspect => &self.pooled,
+            RouteKind::Pooled if !self.connections.is_suspect(address) => &self.pooled,
             _ => &self.direct,
         }
     }
 
-    fn suspect(&self, address: &PeerAddress) {
-        let until = Instant::now() + POOL_IDLE;
-        let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
-        suspects.insert(address.clone(), until);
-    }
-
     async fn send<Q: Serialize, A: DeserializeOwned>(
         &self,
         address: &PeerAddress,
@@ -107,9 +96,8 @@
         within: Duration,
     ) -> Result<A, BrokenReach> {
         let result = self.try_send(address, path, message, route, within).await;
-        if result.is_err() {
-            self.suspect(address);
-        }
+        let event = if result.is_ok() { ConnectionEvent::Answer } else { ConnectionEvent::Timeout };
+        self.connections.note(address, event);
         result
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod agent;
 pub mod backend;
 pub mod clock;
+pub mod connection;
 pub mod edge;
 pub mod entry;
 pub mod error;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -187,6 +187,9 @@
     pub worker: String,
     /// Listener for entries and operators.
     pub listen: SocketAddr,
+    /// Address under which entries reach the listener, where it differs.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
     /// Peer addresses of the entries, by name.
     pub entries: BTreeMap<String, SocketAddr>,
     /// The backend server.
--- a/crates/daemon/src/settings/reference.rs
+++ b/crates/daemon/src/settings/reference.rs
@@ -19,7 +19,7 @@
 }
 
 /// Every key of both kinds of file.
-pub const SETTING_TABLE: [SettingRow; 52] = [
+pub const SETTING_TABLE: [SettingRow; 53] = [
     row("entry.name", "text", "name of the entry, kept over replacements"),
     row("entry.domain", "text", "failure domain of the entry"),
     row("entry.rank", "number", "position among the entries, to keep them out of step"),
@@ -58,6 +58,7 @@
     row("agent.domain", "text", "failure domain of the backend server"),
     row("agent.worker", "text", "worker that it runs on"),
     row("agent.listen", "ip:port", "listener for entries and operators"),
+    row("agent.advertise", "ip:port", "address under which entries reach it, where it differs"),
     row("agent.entries", "map of ip:port", "peer listeners of the entries, by name"),
     row("agent.backend.url", "URL", "where the backend server takes tasks"),
     row("agent.backend.services", "list of text", "services that it offers"),
--- a/crates/questionnaire/src/generate.rs
+++ b/crates/questionnaire/src/generate.rs
@@ -125,6 +125,7 @@
         domain: server.domain.clone(),
         worker: server.worker.clone(),
         listen: server.agent,
+        advertise: None,
         entries: entries.map(|entry| (entry.name.clone(), entry.peers)).collect(),
         backend: BackendSettings {
             url: server.url.clone(),
--- a/crates/standins/src/embedded.rs
+++ b/crates/standins/src/embedded.rs
@@ -5,6 +5,7 @@
 use crate::backend::{self, BackendModel, ExampleBackend};
 use crate::error::StandinError;
 use crate::log::{LogStreams, server as log_server};
+use crate::proxy::SilentProxy;
 use error_stack::{Report, ResultExt};
 use parsleyspool_daemon::agent::{self, AgentDaemon};
 use parsleyspool_daemon::clock::SystemClock;
@@ -164,18 +165,41 @@
         let (listener, address) = listen().await?;
         self.tasks.push(tokio::spawn(backend::serve(listener, backend.clone())));
         self.backends.push(backend);
-        self.add_agent(shape, index, address).await
+        let (listener, _) = listen().await?;
+        self.add_agent(shape, index, address, listener, None)
+    }
+
+    /// Starts one more backend server whose agent is reached through `proxy`.
+    ///
+    /// # Errors
+    /// Fails where a listener cannot be bound.
+    pub async fn add_proxied_server(
+        &mut self,
+        shape: &EmbeddedShape,
+        proxy: Arc<SilentProxy>,
+    ) -> Result<(), Report<StandinError>> {
+        let backend = Arc::new(ExampleBackend::new(BackendModel::default()));
+        let (listener, address) = listen().await?;
+        self.tasks.push(tokio::spawn(backend::serve(listener, backend.clone())));
+        self.backends.push(backend);
+        let (agent_listener, agent_address) = listen().await?;
+        let (proxy_listener, proxy_address) = listen().await?;
+        self.tasks.push(tokio::spawn(proxy.serve(proxy_listener, agent_address)));
+        let index = self.agents.len();
+        self.add_agent(shape, index, address, agent_listener, Some(proxy_address))
     }
 
     /// Starts an agent for the backend server at `backend`.
     ///
     /// # Errors
-    /// Fails where its listener cannot be bound.
-    pub async fn add_agent(
+    /// Fails where a client cannot be built.
+    pub fn add_agent(
         &mut self,
         shape: &EmbeddedShape,
         index: usize,
         backend: SocketAddr,
+        listener: TcpListener,
+        advertise: Option<SocketAddr>,
     ) -> Result<(), Report<StandinError>> {
         let entries = self.entries.iter().enumerate();
         let entries = entries.map(|(at, entry)| (entry_name(at), entry.parts.peer_address()));
@@ -184,6 +208,7 @@
             domain: domain_name(index % shape.domains),
             worker: format!("worker-{}", index + 1),
             listen: LOOPBACK,
+            advertise,
             entries: entries.collect(),
             backend: BackendSettings {
                 url: format!("http://{backend}"),
@@ -198,8 +223,8 @@
             drain: Duration::from_secs(30),
         };
         let clock = Arc::new(SystemClock::new());
-        let agent = agent::start(settings, LogControl::detached(), clock);
-        let agent = agent.await.change_context(StandinError::Daemon)?;
+        let agent = agent::start_on(listener, settings, LogControl::detached(), clock);
+        let agent = agent.change_context(StandinError::Daemon)?;
         self.agents.push(agent.run());
         Ok(())
     }
--- a/crates/standins/tests/whole_path.rs
+++ b/crates/standins/tests/whole_path.rs
@@ -1,8 +1,10 @@
 //! The whole path of a request over real sockets, in one process.
 
 use parsleyspool_standins::embedded::{EmbeddedShape, EmbeddedSystem};
+use parsleyspool_standins::proxy::{SilentDirection, SilentProxy};
 use parsleyspool_wire::caller::{AnswerBody, ErrorBody, SubmitBody, TaskBody};
-use parsleyspool_wire::operator::ChangeOutcomeBody;
+use parsleyspool_wire::operator::{ChangeOutcomeBody, TimelineBody};
+use parsleyspool_wire::record::{AccountStepWire, RefusalWire, decode_account};
 use parsleyspool_wire::settings::{ChangeWire, RequestWire, ServiceWire};
 use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -93,3 +95,101 @@
     assert_eq!(starts, 1);
     system.shut_down();
 }
+
+async fn status_of(request: reqwest::RequestBuilder) -> u16 {
+    request.send().await.expect("the process answers").status().as_u16()
+}
+
+#[tokio::test]
+async fn bad_input_at_every_edge_is_refused_and_the_processes_go_on() {
+    let system = serving_system().await;
+    let client = system.client();
+    let peers = system.operator_url(0, "");
+    let agent = format!("http://{}", system.agents[0].parts.address());
+    let huge = "x".repeat(2 << 20);
+    system.log.append("config", "no record".into()).await.expect("the log takes anything");
+    system.log.append("claims", "no record".into()).await.expect("the log takes anything");
+    system.log.append("members", "no record".into()).await.expect("the log takes anything");
+
+    let statuses = [
+        status_of(client.post(system.caller_url(0)).body("no json")).await,
+        status_of(client.post(system.caller_url(0)).body(huge)).await,
+        status_of(client.get(system.caller_url(0))).await,
+        status_of(client.post(format!("{peers}/peer/heartbeat")).body("no message")).await,
+        status_of(client.post(format!("{peers}/peer/state")).body("no message")).await,
+        status_of(client.post(format!("{peers}/v1/changes")).body("{}")).await,
+        status_of(client.put(format!("{peers}/v1/log-level")).body("{}")).await,
+        status_of(client.post(format!("{agent}/peer/start")).body("no message")).await,
+        status_of(client.post(format!("{agent}/peer/ask")).body("no message")).await,
+        status_of(client.post(format!("{agent}/peer/cancel")).body("no message")).await,
+        status_of(client.get(format!("{agent}/nowhere"))).await,
+    ];
+    let (status, _) = submit(&system, &job("after", "balance", 3)).await;
+
+    assert_eq!(statuses, [400, 413, 405, 400, 400, 400, 400, 400, 400, 400, 404]);
+    assert_eq!(status, 200);
+    system.shut_down();
+}
+
+#[tokio::test]
+async fn answer_account_metric_and_time_line_agree_on_a_refusal() {
+    let system = serving_system().await;
+
+    let (_, body) = submit(&system, &job("unknown", "withdraw", 1)).await;
+
+    let answer: ErrorBody = serde_json::from_slice(&body).expect("a refusal");
+    let account = first_account(&system).await;
+    let metrics = text(&system, "/metrics").await;
+    let timeline: TimelineBody =
+        serde_json::from_str(&text(&system, "/v1/timeline").await).expect("a time line");
+    let event = timeline.events.iter().find(|event| event.event == "job_refused");
+    let event = event.expect("an event of the refusal");
+    assert_eq!((&account.kind, account.not_run), (&answer.kind, answer.not_run));
+    assert_eq!(account.submission, answer.submission);
+    assert_eq!(account.config_version, answer.config_version);
+    assert!(metrics.contains("parsleyspool_answers_total{kind=\"unknown_request\"} 1"));
+    assert_eq!(event.submission.as_ref(), Some(&answer.submission));
+    assert_eq!(event.figures, ["kind=unknown_request", "not_run=true"]);
+    system.shut_down();
+}
+
+async fn text(system: &EmbeddedSystem, path: &str) -> String {
+    let request = system.client().get(system.operator_url(0, path));
+    request.send().await.expect("the entry answers").text().await.expect("a body")
+}
+
+async fn first_account(system: &EmbeddedSystem) -> RefusalWire {
+    let mut from = 0;
+    loop {
+        let wait = Duration::from_secs(1);
+        let page = system.log.read("accounts", from, 10, wait).await.expect("the log is there");
+        for (offset, bytes) in &page.records {
+            from = offset + 1;
+            let record = decode_account(bytes).expect("an account");
+            if let AccountStepWire::Batch(mut batch) = record.step {
+                return batch.remove(0);
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_answer_on_a_silent_connection_reaches_its_caller_over_a_new_one() {
+    let proxy = SilentProxy::new();
+    let shape = EmbeddedShape::small(vec!["tokens".to_owned()]);
+    let mut system = EmbeddedSystem::start(&EmbeddedShape { servers: 0, ..shape.clone() })
+        .await
+        .expect("the system starts");
+    system.change(token_service(), 0).await.expect("the entry answers");
+    system.add_proxied_server(&shape, proxy.clone()).await.expect("the server starts");
+    system.wait_ready(1).await.expect("the server announces itself");
+    submit(&system, &job("before", "balance", 4)).await;
+
+    proxy.silence(SilentDirection::Both);
+    let (status, _) = submit(&system, &job("during", "balance", 4)).await;
+
+    assert_eq!(status, 200);
+    let starts = system.backends.iter().flat_map(|backend| backend.starts());
+    assert!(starts.into_iter().all(|(_, count)| count == 1));
+    system.shut_down();
+}
