--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -278,6 +278,7 @@
         let Some(spec) = self.ledger.configuration().services.get(&request.service) else { return };
         let digest = claim.map_or(0, |_| content_digest(&request.tasks));
         let mut job = HeldJob::new(id, ticket, request, spec, now.elapsed);
+        job.rank = now.elapsed + self.limits.task_surcharge * job.task_count();
         job.claim = claim;
         job.digest = digest;
         self.held_tasks += job.tasks.len();
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -27,10 +27,10 @@
     /// Queues every task of an admitted job and places what can be placed.
     pub(super) fn enqueue(&mut self, id: SubmissionId, now: Moment) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let (service, team) = (job.service.clone(), job.team.clone());
+        let (service, team, rank) = (job.service.clone(), job.team.clone(), job.rank);
         for index in 0..job.task_count() {
             self.retries.earn();
-            self.queue.push(&service, &team, TaskId::new(id, index));
+            self.queue.push(&service, &team, TaskId::new(id, index), rank);
         }
         self.pump_service(&service, now);
     }
@@ -82,8 +82,8 @@
 
     pub(super) fn put_back(&mut self, task: TaskId) {
         let Some(job) = self.jobs.get(&task.submission) else { return };
-        let (service, team) = (job.service.clone(), job.team.clone());
-        self.queue.push_front(&service, &team, task);
+        let (service, team, rank) = (job.service.clone(), job.team.clone(), job.rank);
+        self.queue.push(&service, &team, task, rank);
     }
 
     fn place(&mut self, id: TaskId, now: Moment) -> PlaceOutcome {
--- a/crates/core/src/entry/limits.rs
+++ b/crates/core/src/entry/limits.rs
@@ -15,6 +15,8 @@
     pub longest_deadline: Duration,
     /// Slots beyond those of a server that may be filled ahead.
     pub ahead: u32,
+    /// Time by which each task of a job puts all its tasks back in the queue.
+    pub task_surcharge: Duration,
     /// Starts of one task, all but the last proven not to have started.
     pub attempts: u32,
     /// Retries earned by each first attempt.
@@ -58,6 +60,7 @@
             tasks_held: 50_000,
             longest_deadline: Duration::from_secs(120),
             ahead: 1,
+            task_surcharge: Duration::from_millis(50),
             attempts: 4,
             retry_ratio: 0.2,
             retry_reserve: 100,
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -120,6 +120,8 @@
     pub arrived: Duration,
     /// When its answer is due.
     pub due: Duration,
+    /// Order of its tasks among those that wait.
+    pub rank: Duration,
     /// Its claim, where a request is non-idempotent.
     pub claim: Option<ClaimKey>,
     /// Digest of its tasks, where it has a claim.
@@ -148,6 +150,7 @@
             service: request.service,
             arrived: now,
             due,
+            rank: now,
             claim: None,
             digest: 0,
             tasks: request.tasks.into_iter().map(|task| HeldTask::new(task, spec)).collect(),
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -1,11 +1,14 @@
 //! Tasks that wait at an entry, shared fairly between teams.
 //!
-//! Each service has a first-in, first-out queue. Where a freed slot could serve several services,
+//! Each service has a queue ordered by the rank of the tasks: the arrival of the job, later for a
+//! larger job. A till's single request so passes the tasks of a large job that came shortly before,
+//! and a large job is passed only by what comes within its surcharge. Where a freed slot could serve several services,
 //! stride scheduling picks the team that has had the least service for its weight. A team that was
 //! idle starts at the present pass and gains no credit for its absence.
 
 use crate::id::{ServiceName, TaskId, TeamName};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
 
 /// Pass that one task of a team with weight 1 costs.
 const STRIDE: u64 = 1 << 20;
@@ -13,7 +16,7 @@
 #[derive(Debug, Default)]
 struct ServiceQueue {
     team: Option<TeamName>,
-    tasks: VecDeque<TaskId>,
+    tasks: BTreeSet<(Duration, TaskId)>,
 }
 
 /// Queues of all services.
@@ -46,14 +49,11 @@
         self.services.get(service).map_or(0, |queue| queue.tasks.len())
     }
 
-    /// Adds a task at the end.
-    pub fn push(&mut self, service: &ServiceName, team: &TeamName, task: TaskId) {
-        self.enter(service, team).tasks.push_back(task);
-    }
-
-    /// Adds a task that had its turn before at the front.
-    pub fn push_front(&mut self, service: &ServiceName, team: &TeamName, task: TaskId) {
-        self.enter(service, team).tasks.push_front(task);
+    /// Adds a task of `rank`; the least rank comes first.
+    pub fn push(&mut self, service: &ServiceName, team: &TeamName, task: TaskId, rank: Duration) {
+        if self.enter(service, team).tasks.insert((rank, task)) {
+            self.len += 1;
+        }
     }
 
     fn enter(&mut self, service: &ServiceName, team: &TeamName) -> &mut ServiceQueue {
@@ -63,7 +63,6 @@
             *pass = (*pass).max(self.present);
         }
         queue.team = Some(team.clone());
-        self.len += 1;
         queue
     }
 
@@ -80,7 +79,7 @@
         });
         let (pass, name) = waiting.min_by_key(|(pass, _)| *pass)?;
         let queue = self.services.get_mut(name)?;
-        let task = queue.tasks.pop_front()?;
+        let (_, task) = queue.tasks.pop_first()?;
         let team = queue.team.clone()?;
         let stride = STRIDE / u64::from(weight(&team).max(1));
         self.passes.insert(team, pass + stride);
@@ -92,7 +91,7 @@
     /// Removes the tasks for which `keep` is false; used when many jobs end together.
     pub fn retain(&mut self, keep: impl Fn(&TaskId) -> bool) {
         for queue in self.services.values_mut() {
-            queue.tasks.retain(&keep);
+            queue.tasks.retain(|(_, task)| keep(task));
         }
         self.len = self.services.values().map(|queue| queue.tasks.len()).sum();
     }
--- a/crates/core/tests/parts.rs
+++ b/crates/core/tests/parts.rs
@@ -200,8 +200,8 @@
 fn teams_share_a_freed_slot_by_weight() {
     let mut queue = TeamQueue::new();
     for index in 0..30 {
-        queue.push(&"heavy".into(), &"h".into(), TaskId::new(1, index));
-        queue.push(&"light".into(), &"l".into(), TaskId::new(2, index));
+        queue.push(&"heavy".into(), &"h".into(), TaskId::new(1, index), Duration::ZERO);
+        queue.push(&"light".into(), &"l".into(), TaskId::new(2, index), Duration::ZERO);
     }
     let services = ["heavy".into(), "light".into()];
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -103,6 +103,9 @@
     pub longest_deadline: Duration,
     /// Slots filled ahead at each backend server.
     pub ahead: u32,
+    /// Time by which each task of a job puts all its tasks back in the queue.
+    #[serde(with = "humantime_serde")]
+    pub task_surcharge: Duration,
     /// Starts of one task, all but the last proven not to have started.
     pub attempts: u32,
     /// Retries earned by each first attempt.
@@ -155,6 +158,7 @@
             body_bytes: 1 << 20,
             longest_deadline: limits.longest_deadline,
             ahead: limits.ahead,
+            task_surcharge: limits.task_surcharge,
             attempts: limits.attempts,
             retry_ratio: limits.retry_ratio,
             ask_after: limits.ask_after,
@@ -340,6 +344,7 @@
             tasks_held: limits.tasks_held,
             longest_deadline: limits.longest_deadline,
             ahead: limits.ahead,
+            task_surcharge: limits.task_surcharge,
             attempts: limits.attempts,
             retry_ratio: limits.retry_ratio,
             ask_after: limits.ask_after,
--- a/crates/daemon/src/settings/reference.rs
+++ b/crates/daemon/src/settings/reference.rs
@@ -19,7 +19,7 @@
 }
 
 /// Every key of both kinds of file.
-pub const SETTING_TABLE: [SettingRow; 53] = [
+pub const SETTING_TABLE: [SettingRow; 54] = [
     row("entry.name", "text", "name of the entry, kept over replacements"),
     row("entry.domain", "text", "failure domain of the entry"),
     row("entry.rank", "number", "position among the entries, to keep them out of step"),
@@ -35,6 +35,7 @@
     row("entry.limits.body_bytes", "bytes", "largest body of a submission"),
     row("entry.limits.longest_deadline", "duration", "longest deadline that a caller may ask for"),
     row("entry.limits.ahead", "slots", "slots filled ahead at each backend server"),
+    row("entry.limits.task_surcharge", "duration", "by which each task puts its job back"),
     row("entry.limits.attempts", "starts", "starts of one task, all but the last proven not run"),
     row("entry.limits.retry_ratio", "ratio", "retries earned by each first attempt"),
     row("entry.limits.ask_after", "duration", "time beyond the expected one before asking"),
--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -19,6 +19,10 @@
     Run(cmd::run::RunArgs),
     /// Serve the stand-in of the platform's log.
     Log(cmd::log::LogArgs),
+    /// Drive an experiment against running processes and report.
+    Load(cmd::load::LoadArgs),
+    /// Compare reports of several runs: median and spread of each variant.
+    Compare(cmd::compare::CompareArgs),
     /// Serve an example backend server.
     Backend(cmd::backend::BackendArgs),
 }
@@ -29,6 +33,8 @@
         match self.command {
             Command::Run(args) => args.run().await,
             Command::Log(args) => args.run().await,
+            Command::Load(args) => args.run().await,
+            Command::Compare(args) => args.run(),
             Command::Backend(args) => args.run().await,
         }
     }
--- a/crates/standins/src/cmd.rs
+++ b/crates/standins/src/cmd.rs
@@ -1,5 +1,7 @@
 //! One file for each subcommand.
 
 pub mod backend;
+pub mod compare;
+pub mod load;
 pub mod log;
 pub mod run;
--- /dev/null
+++ b/crates/standins/src/cmd/compare.rs
@@ -0,0 +1,69 @@
+//! `parsleyspool-standins compare`.
+
+use clap::Args;
+use error_stack::{Report, ResultExt};
+use parsleyspool_standins::error::StandinError;
+use parsleyspool_standins::experiment::report::RunFigures;
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+/// Arguments of `compare`.
+#[derive(Debug, Args)]
+pub struct CompareArgs {
+    /// Directories with a `report.json`, each named VARIANT.SEED.
+    #[arg(required = true)]
+    directories: Vec<PathBuf>,
+}
+
+/// Figure of a run, by name.
+type FigureReader = (&'static str, fn(&RunFigures) -> f64);
+
+const FIGURES: [FigureReader; 9] = [
+    ("p50", |run| run.slowdown.p50),
+    ("p99", |run| run.slowdown.p99),
+    ("p50/ref", |run| run.slowdown.p50 / run.reference.p50),
+    ("p99/ref", |run| run.slowdown.p99 / run.reference.p99),
+    ("wasted", |run| run.wasted_per_task),
+    ("goodput", |run| run.goodput / run.offered.min(run.capacity)),
+    ("busy out", |run| run.busy_while_out.unwrap_or(f64::NAN)),
+    ("refusal ms", |run| run.refusal_p99_ms),
+    ("breaches", |run| run.breaches.len() as f64),
+];
+
+impl CompareArgs {
+    /// Prints the median and spread of each figure for each variant.
+    pub fn run(self) -> Result<(), Report<StandinError>> {
+        let mut variants: BTreeMap<String, Vec<RunFigures>> = BTreeMap::new();
+        for directory in &self.directories {
+            let text = std::fs::read_to_string(directory.join("report.json"))
+                .change_context(StandinError::File)
+                .attach_with(|| directory.display().to_string())?;
+            let run = serde_json::from_str(&text).change_context(StandinError::Form)?;
+            let name = directory.file_stem().unwrap_or_default().to_string_lossy();
+            variants.entry(name.into_owned()).or_default().push(run);
+        }
+        print!("{:<22}", "variant (runs)");
+        for (name, _) in FIGURES {
+            print!(" {name:>18}");
+        }
+        println!();
+        for (variant, runs) in &variants {
+            print!("{:<22}", format!("{variant} ({})", runs.len()));
+            for (_, read) in FIGURES {
+                print!(" {:>18}", spread(runs.iter().map(read).collect()));
+            }
+            println!();
+        }
+        Ok(())
+    }
+}
+
+/// Median with least and most.
+fn spread(mut values: Vec<f64>) -> String {
+    values.sort_by(f64::total_cmp);
+    let (Some(least), Some(most)) = (values.first(), values.last()) else { return String::new() };
+    if least.is_nan() {
+        return "-".to_owned();
+    }
+    format!("{:.3} {least:.3}-{most:.3}", values[values.len() / 2])
+}
--- /dev/null
+++ b/crates/standins/src/experiment/measure.rs
@@ -0,0 +1,146 @@
+//! Figures that the processes themselves give: messages, busy slots and broken promises.
+
+use parsleyspool_core::checker::{CheckGrace, CheckReport, ObservedEvent, check};
+use parsleyspool_core::id::parse_id;
+use parsleyspool_core::timeline::{EventFigure, EventKind, TimelineEvent};
+use parsleyspool_wire::operator::{StatusBody, TimelineBody};
+use reqwest::Client;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Messages and tasks counted at the entries.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MessageCounts {
+    /// Starts sent.
+    pub starts: u64,
+    /// Questions sent.
+    pub asks: u64,
+    /// Cancellations sent.
+    pub cancels: u64,
+    /// Tasks that ran, answered or failed.
+    pub ran: u64,
+    /// Answers that nobody waited for.
+    pub orphans: u64,
+    /// Appends to the log.
+    pub appends: u64,
+}
+
+impl MessageCounts {
+    /// Counts since `before`.
+    pub fn since(self, before: Self) -> Self {
+        Self {
+            starts: self.starts - before.starts,
+            asks: self.asks - before.asks,
+            cancels: self.cancels - before.cancels,
+            ran: self.ran - before.ran,
+            orphans: self.orphans - before.orphans,
+            appends: self.appends - before.appends,
+        }
+    }
+
+    /// Messages that moved no task forward: starts that did not lead to a run, questions and
+    /// cancellations.
+    pub fn wasted(&self) -> u64 {
+        let useful = self.ran + self.orphans;
+        self.starts.saturating_sub(useful) + self.asks + self.cancels
+    }
+}
+
+/// Value of the sample `name` in the text of a process's metrics.
+fn sample(text: &str, name: &str) -> u64 {
+    let lines = text.lines().filter_map(|line| line.strip_prefix(name));
+    lines.filter_map(|rest| rest.trim().parse::<f64>().ok()).sum::<f64>() as u64
+}
+
+/// Counts over all entries.
+pub async fn count_messages(client: &Client, entries: &[SocketAddr]) -> MessageCounts {
+    let mut counts = MessageCounts::default();
+    for entry in entries {
+        let Ok(response) = client.get(format!("http://{entry}/metrics")).send().await else {
+            continue;
+        };
+        let Ok(text) = response.text().await else { continue };
+        let message = |kind: &str| {
+            sample(&text, &format!("parsleyspool_messages_total{{message=\"{kind}\"}}"))
+        };
+        let event =
+            |kind: &str| sample(&text, &format!("parsleyspool_events_total{{event=\"{kind}\"}}"));
+        counts.starts += message("start");
+        counts.asks += message("ask");
+        counts.cancels += message("cancel");
+        counts.appends += message("append");
+        counts.ran += event("task_answered") + event("task_faulted");
+        counts.orphans += event("answer_orphaned");
+    }
+    counts
+}
+
+/// Time lines of every process that the entries know.
+pub async fn gather(client: &Client, entries: &[SocketAddr]) -> Vec<TimelineBody> {
+    let mut addresses = BTreeSet::new();
+    for entry in entries {
+        let request = client.get(format!("http://{entry}/v1/status"));
+        let Ok(response) = request.send().await else { continue };
+        let Ok(status) = response.json::<StatusBody>().await else { continue };
+        addresses.extend(status.processes.into_iter().map(|process| process.address));
+    }
+    let mut bodies = Vec::new();
+    for address in addresses {
+        let request = client.get(format!("http://{address}/v1/timeline"));
+        let Ok(response) = request.send().await else { continue };
+        bodies.extend(response.json::<TimelineBody>().await.ok());
+    }
+    bodies
+}
+
+/// Checks the promises over `bodies`.
+pub fn verify(bodies: &[TimelineBody]) -> CheckReport {
+    let events: Vec<ObservedEvent> = bodies.iter().flat_map(observed).collect();
+    let gaps = bodies.iter().filter(|body| body.dropped > 0);
+    let gaps: BTreeMap<_, _> =
+        gaps.map(|body| (body.process.as_str().into(), body.dropped)).collect();
+    CheckReport { gaps, ..check(&events, CheckGrace::default()) }
+}
+
+fn observed(body: &TimelineBody) -> Vec<ObservedEvent> {
+    let incarnation = parse_id(&body.incarnation).and_then(|id| u64::try_from(id).ok());
+    let events = body.events.iter().filter_map(|event| TimelineEvent::try_from(event).ok());
+    let events = events.map(|event| ObservedEvent {
+        process: body.process.as_str().into(),
+        incarnation: incarnation.unwrap_or_default(),
+        domain: body.domain.as_str().into(),
+        event,
+    });
+    events.collect()
+}
+
+/// Share of the slots that ran a task between `from` and `until`, by the wall clock, over the
+/// agents for which `counts` is true.
+pub fn busy_share(
+    bodies: &[TimelineBody],
+    slots: u32,
+    from: Duration,
+    until: Duration,
+    counts: impl Fn(&TimelineBody) -> bool,
+) -> f64 {
+    let agents: Vec<&TimelineBody> =
+        bodies.iter().filter(|body| body.role == "agent" && counts(body)).collect();
+    let busy: Duration = agents.iter().map(|body| busy_time(body, from, until)).sum();
+    let window = until.saturating_sub(from).as_secs_f64();
+    busy.as_secs_f64() / (window * f64::from(slots) * agents.len() as f64)
+}
+
+fn busy_time(body: &TimelineBody, from: Duration, until: Duration) -> Duration {
+    let runs = observed(body).into_iter().filter_map(|observed| {
+        let run_time = observed.event.figures.iter().find_map(|figure| match figure {
+            EventFigure::RunTimeUs(time) => Some(Duration::from_micros(*time)),
+            _ => None,
+        })?;
+        let end = Duration::from_micros(observed.event.stamp.wall_us);
+        let is_run = observed.event.kind == EventKind::AgentFinished;
+        is_run.then(|| (end.saturating_sub(run_time), end))
+    });
+    runs.map(|(start, end)| end.min(until).saturating_sub(start.max(from))).sum()
+}
--- /dev/null
+++ b/crates/standins/src/experiment/report.rs
@@ -0,0 +1,288 @@
+//! Report of one run: figures as text and JSON, and a picture.
+
+use super::drive::{DriveOutcome, DriveRun};
+use super::file::{DomainAction, ExperimentFile};
+use super::measure::{MessageCounts, busy_share};
+use super::reference::{ideal, response_times};
+use super::trace::TraceJob;
+use crate::error::StandinError;
+use error_stack::Report;
+use hdrhistogram::Histogram;
+use parsleyspool_core::checker::CheckReport;
+use parsleyspool_wire::operator::TimelineBody;
+use plotters::prelude::{
+    BLUE, ChartBuilder, IntoDrawingArea, LineSeries, PathElement, RED, SVGBackend, WHITE,
+};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+/// Percentiles of slowdowns, in thousandths.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct SlowdownFigures {
+    /// Median.
+    pub p50: f64,
+    /// 90th percentile.
+    pub p90: f64,
+    /// 99th percentile.
+    pub p99: f64,
+}
+
+/// Figures of one run.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RunFigures {
+    /// Name of the experiment.
+    pub name: String,
+    /// Jobs counted.
+    pub jobs: usize,
+    /// Tasks of all jobs.
+    pub tasks: usize,
+    /// Slowdown of the jobs answered whole.
+    pub slowdown: SlowdownFigures,
+    /// Slowdown under the all-knowing central queue.
+    pub reference: SlowdownFigures,
+    /// Jobs by outcome.
+    pub outcomes: BTreeMap<String, usize>,
+    /// Work answered whole, in seconds at pace 1, for each second of arrivals.
+    pub goodput: f64,
+    /// The same for the work that arrived.
+    pub offered: f64,
+    /// What all slots could do.
+    pub capacity: f64,
+    /// 99th percentile of the time to a refusal, in milliseconds, clients' round trip included.
+    pub refusal_p99_ms: f64,
+    /// Messages.
+    pub messages: MessageCounts,
+    /// Wasted messages a task.
+    pub wasted_per_task: f64,
+    /// Share of the remaining slots that were busy while a failure domain was out.
+    pub busy_while_out: Option<f64>,
+    /// The same from its return until half as long after as it was out.
+    pub busy_after_back: Option<f64>,
+    /// Broken promises.
+    pub breaches: Vec<String>,
+    /// Starts that the checker saw.
+    pub starts_checked: usize,
+    /// Processes whose events are incomplete.
+    pub gaps: usize,
+}
+
+/// Everything that a report is made from.
+#[derive(Debug)]
+pub struct RunRecord<'a> {
+    /// Experiment.
+    pub file: &'a ExperimentFile,
+    /// Its trace.
+    pub jobs: &'a [TraceJob],
+    /// What the clients got.
+    pub run: &'a DriveRun,
+    /// Messages sent.
+    pub messages: MessageCounts,
+    /// Time lines of the processes.
+    pub bodies: &'a [TimelineBody],
+    /// What the checker said.
+    pub check: &'a CheckReport,
+}
+
+/// Slowdowns are kept in thousandths.
+const SCALE: f64 = 1000.0;
+
+fn percentiles(slowdowns: impl Iterator<Item = f64>) -> SlowdownFigures {
+    let Ok(mut histogram) = Histogram::<u64>::new(3) else {
+        return SlowdownFigures { p50: 0.0, p90: 0.0, p99: 0.0 };
+    };
+    for slowdown in slowdowns {
+        let _ = histogram.record((slowdown * SCALE) as u64);
+    }
+    let at = |percentile| histogram.value_at_percentile(percentile) as f64 / SCALE;
+    SlowdownFigures { p50: at(50.0), p90: at(90.0), p99: at(99.0) }
+}
+
+impl RunRecord<'_> {
+    /// Figures of the run.
+    pub fn figures(&self) -> RunFigures {
+        let file = self.file;
+        let is_counted = |job: &TraceJob| job.at >= file.warm_up && !job.is_cancelled;
+        let ideals: Vec<Duration> = self.jobs.iter().map(|job| ideal(file, job)).collect();
+        let whole = self.run.results.iter().filter(|result| {
+            result.outcome == DriveOutcome::Whole && is_counted(&self.jobs[result.index])
+        });
+        let slowdown =
+            percentiles(whole.clone().map(|result| ratio(result.response, ideals[result.index])));
+        let tasks = self.jobs.iter().map(|job| job.tasks.len()).sum::<usize>();
+        let span = (file.duration - file.warm_up).as_secs_f64();
+        let goodput: Duration = whole.map(|result| self.jobs[result.index].work()).sum();
+        let counted = self.jobs.iter().filter(|job| is_counted(job));
+        let offered: Duration = counted.clone().map(TraceJob::work).sum();
+        RunFigures {
+            name: file.name.clone(),
+            jobs: counted.count(),
+            tasks,
+            slowdown,
+            reference: self.reference(&ideals),
+            outcomes: self.outcomes(),
+            goodput: goodput.as_secs_f64() / span,
+            offered: offered.as_secs_f64() / span,
+            capacity: file.capacity(),
+            refusal_p99_ms: self.refusal_p99(),
+            messages: self.messages,
+            wasted_per_task: self.messages.wasted() as f64 / tasks.max(1) as f64,
+            busy_while_out: self.window().map(|(from, until)| self.busy(from, until)),
+            busy_after_back: self
+                .window()
+                .map(|(from, until)| self.busy_all(until, until + (until - from) / 2)),
+            breaches: self.check.breaches.iter().map(ToString::to_string).collect(),
+            starts_checked: self.check.starts,
+            gaps: self.check.gaps.len(),
+        }
+    }
+
+    fn reference(&self, ideals: &[Duration]) -> SlowdownFigures {
+        let file = self.file;
+        let arrivals = self.jobs.iter().zip(ideals).filter(|(job, _)| !job.is_cancelled);
+        let times = response_times(file, self.jobs);
+        let counted = arrivals.zip(times).filter(|((job, _), _)| job.at >= file.warm_up);
+        percentiles(counted.map(|((_, ideal), time)| ratio(time, *ideal)))
+    }
+
+    fn outcomes(&self) -> BTreeMap<String, usize> {
+        let mut outcomes = BTreeMap::new();
+        for result in &self.run.results {
+            let name = match &result.outcome {
+                DriveOutcome::Whole => "complete".to_owned(),
+                DriveOutcome::Refused(kind, true) => format!("{kind} (not run)"),
+                DriveOutcome::Refused(kind, false) => kind.clone(),
+                DriveOutcome::Broken => "connection broken".to_owned(),
+                DriveOutcome::GivenUp => "given up".to_owned(),
+            };
+            *outcomes.entry(name).or_insert(0) += 1;
+        }
+        outcomes
+    }
+
+    fn refusal_p99(&self) -> f64 {
+        let refused = self.run.results.iter();
+        let refused =
+            refused.filter(|result| matches!(result.outcome, DriveOutcome::Refused(_, true)));
+        let Ok(mut histogram) = Histogram::<u64>::new(3) else { return 0.0 };
+        for result in refused {
+            let micros = u64::try_from(result.response.as_micros()).unwrap_or(u64::MAX);
+            let _ = histogram.record(micros);
+        }
+        histogram.value_at_percentile(99.0) as f64 / 1000.0
+    }
+
+    /// Wall clock between the acceptance of a take-out and of the return.
+    fn window(&self) -> Option<(Duration, Duration)> {
+        let at = |wanted: DomainAction| {
+            let found = self.run.actions.iter().find(|(action, _)| action.action == wanted);
+            found.map(|(_, at)| self.run.started_wall + *at)
+        };
+        Some((at(DomainAction::Out)?, at(DomainAction::Back)?))
+    }
+
+    fn busy(&self, from: Duration, until: Duration) -> f64 {
+        let out = self.run.actions.iter().map(|(action, _)| action.domain.as_str());
+        let out: Vec<&str> = out.collect();
+        let remains = |body: &TimelineBody| !out.contains(&body.domain.as_str());
+        busy_share(self.bodies, self.file.slots, from, until, remains)
+    }
+
+    fn busy_all(&self, from: Duration, until: Duration) -> f64 {
+        let end = (self.run.started_wall + self.file.duration).min(until);
+        busy_share(self.bodies, self.file.slots, from, end, |_| true)
+    }
+
+    /// Picture of the work answered whole in each half second, with the actions marked.
+    ///
+    /// # Errors
+    /// Fails where the drawing library does.
+    pub fn picture(&self) -> Result<String, Report<StandinError>> {
+        let mut text = String::new();
+        self.draw(&mut text)
+            .map_err(|error| Report::new(StandinError::Report).attach(error.to_string()))?;
+        Ok(text)
+    }
+
+    fn draw(&self, text: &mut String) -> Result<(), Box<dyn std::error::Error>> {
+        const BIN: f64 = 0.5;
+        let mut bins = BTreeMap::<usize, f64>::new();
+        for result in &self.run.results {
+            if result.outcome == DriveOutcome::Whole {
+                let job = &self.jobs[result.index];
+                let bin = ((job.at + result.response).as_secs_f64() / BIN) as usize;
+                *bins.entry(bin).or_insert(0.0) += job.work().as_secs_f64() / BIN;
+            }
+        }
+        let points: Vec<(f64, f64)> =
+            bins.iter().map(|(bin, work)| (*bin as f64 * BIN, *work)).collect();
+        let end = points.last().map_or(1.0, |(at, _)| *at);
+        let top = points.iter().map(|(_, work)| *work).fold(self.file.capacity(), f64::max) * 1.1;
+        let root = SVGBackend::with_string(text, (900, 400)).into_drawing_area();
+        root.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&root)
+            .caption(format!("{}: work answered a second", self.file.name), ("sans-serif", 18))
+            .margin(10)
+            .x_label_area_size(36)
+            .y_label_area_size(50)
+            .build_cartesian_2d(0.0..end, 0.0..top)?;
+        chart.configure_mesh().x_desc("s").y_desc("s of work / s").draw()?;
+        chart.draw_series(LineSeries::new(points, &BLUE))?;
+        for (_, at) in &self.run.actions {
+            let at = at.as_secs_f64();
+            chart.draw_series([PathElement::new(vec![(at, 0.0), (at, top)], RED)])?;
+        }
+        root.present()?;
+        drop(chart);
+        Ok(())
+    }
+}
+
+fn ratio(time: Duration, ideal: Duration) -> f64 {
+    time.as_secs_f64() / ideal.as_secs_f64().max(f64::MIN_POSITIVE)
+}
+
+impl RunFigures {
+    /// Figures as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let mut line = |words: String| {
+            let _ = writeln!(text, "{words}");
+        };
+        line(format!("experiment {} jobs={} tasks={}", self.name, self.jobs, self.tasks));
+        line(format!(
+            "slowdown p50={:.3} p90={:.3} p99={:.3}",
+            self.slowdown.p50, self.slowdown.p90, self.slowdown.p99
+        ));
+        line(format!(
+            "reference p50={:.3} p90={:.3} p99={:.3}",
+            self.reference.p50, self.reference.p90, self.reference.p99
+        ));
+        line(format!(
+            "ratio to the reference p50={:.3} p99={:.3}",
+            self.slowdown.p50 / self.reference.p50,
+            self.slowdown.p99 / self.reference.p99
+        ));
+        line(format!(
+            "goodput={:.2} offered={:.2} capacity={:.2} seconds of work a second",
+            self.goodput, self.offered, self.capacity
+        ));
+        line(format!("outcomes {:?}", self.outcomes));
+        line(format!("time to a refusal p99={:.1} ms", self.refusal_p99_ms));
+        line(format!("messages {:?} wasted a task={:.4}", self.messages, self.wasted_per_task));
+        if let (Some(out), Some(back)) = (self.busy_while_out, self.busy_after_back) {
+            line(format!("busy share of the remaining slots={out:.3} after the return={back:.3}"));
+        }
+        line(format!(
+            "promises broken={} starts checked={} incomplete processes={}",
+            self.breaches.len(),
+            self.starts_checked,
+            self.gaps
+        ));
+        for breach in &self.breaches {
+            line(format!("  {breach}"));
+        }
+        text
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backend;
 pub mod embedded;
 pub mod error;
+pub mod experiment;
 pub mod jobs;
 pub mod log;
 pub mod proxy;
