Let each entry fill its share of every server, and order the agents' queues by size

Cause: a large job at one entry filled every slot, and a freed slot was refilled by the entry that heard of it first. The others saw the server full until the next heartbeat, up to 1 s later, so a single request at another entry waited for the large job. Ruled out: the order of the entries' own queues (sized first already). An entry may now fill slots/entries of each server whatever the others have there, within the room that the agent reports, and the agent starts the tasks of small jobs first. With that, nothing needs to be filled ahead (ahead 0 by default).

--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -55,7 +55,7 @@
     deployment.wait_freshness("agreed").await;
     let replies = deployment.submit_many(30).await;
 
-    assert!(replies.iter().all(CallerReply::is_whole), "{replies:?}");
+    assert!(replies.iter().all(CallerReply::is_whole), "{:?}", deployment::unwhole(&replies));
     assert_all_answered(replies, &deployment).await;
 }
 
@@ -89,7 +89,7 @@
     let before = deployment.starts_at(0);
     let replies = deployment.submit_many(30).await;
 
-    assert!(replies.iter().all(CallerReply::is_whole), "{replies:?}");
+    assert!(replies.iter().all(CallerReply::is_whole), "{:?}", deployment::unwhole(&replies));
     assert_eq!(deployment.starts_at(0), before);
     assert_all_answered(replies, &deployment).await;
 }
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -24,13 +24,15 @@
 use crate::time::Moment;
 use crate::timeline::{EventFigure, EventKind, RunWord, TimelineEvent, micros};
 use memory::OutcomeMemory;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 #[derive(Debug)]
 struct HeldStart {
     entry: EntryName,
     order: StartOrder,
+    /// Order among the tasks that wait.
+    rank: Duration,
     started: Option<Duration>,
 }
 
@@ -50,7 +52,7 @@
     limits: AgentLimits,
     known: KnownOrder,
     held: HashMap<TaskId, HeldStart>,
-    queue: VecDeque<TaskId>,
+    queue: BTreeSet<(Duration, TaskId)>,
     running: u32,
     queued: u32,
     by_entry: HashMap<EntryName, u32>,
@@ -71,7 +73,7 @@
                 until: Duration::ZERO,
             },
             held: HashMap::new(),
-            queue: VecDeque::new(),
+            queue: BTreeSet::new(),
             running: 0,
             queued: 0,
             by_entry: HashMap::new(),
@@ -114,6 +116,11 @@
         }
     }
 
+    /// Slots that may run and queue here together.
+    pub fn room(&self) -> u32 {
+        self.limits.slots + self.limits.queue
+    }
+
     /// Whether the backend server takes no new work.
     pub fn is_leaving(&self) -> bool {
         self.is_draining || self.known.is_leaving
@@ -170,8 +177,7 @@
         if now.elapsed >= order.permit_until || order.permit_until > latest {
             return Some(NotStartedReason::PermitLapsed);
         }
-        let room = self.limits.slots + self.limits.queue;
-        let is_full = self.running + self.queued + order.slots > room
+        let is_full = self.running + self.queued + order.slots > self.room()
             || order.slots > self.limits.slots
             || self.memory.is_full();
         is_full.then_some(NotStartedReason::Full)
@@ -182,8 +188,9 @@
         self.memory.forget(task);
         self.queued += order.slots;
         *self.by_entry.entry(entry.clone()).or_insert(0) += order.slots;
-        self.held.insert(task, HeldStart { entry, order, started: None });
-        self.queue.push_back(task);
+        let rank = now.elapsed + order.surcharge;
+        self.held.insert(task, HeldStart { entry, order, rank, started: None });
+        self.queue.insert((rank, task));
         self.actions.push(AgentAction::Wait { task });
         self.run_next(now);
         if self.held.get(&task).is_some_and(|held| held.started.is_none()) {
@@ -233,15 +240,15 @@
 
     /// Starts what waits while slots are free.
     fn run_next(&mut self, now: Moment) {
-        while let Some(&task) = self.queue.front() {
-            let Some(held) = self.held.get_mut(&task) else {
-                self.queue.pop_front();
+        while let Some(&(rank, task)) = self.queue.first() {
+            let Some(held) = self.held.get(&task).filter(|held| held.rank == rank) else {
+                self.queue.pop_first();
                 continue;
             };
             if self.running + held.order.slots > self.limits.slots {
                 return;
             }
-            self.queue.pop_front();
+            self.queue.pop_first();
             let order = held.order.clone();
             if let Some(reason) = self.objection(&order, now) {
                 self.give_back(task, reason, now);
@@ -362,14 +369,14 @@
 
     /// Gives back every queued task that may no longer start.
     fn recheck(&mut self, now: Moment) {
-        let queued: Vec<TaskId> = self.queue.iter().copied().collect();
+        let queued: Vec<TaskId> = self.queue.iter().map(|(_, task)| *task).collect();
         for task in queued {
             let Some(held) = self.held.get(&task) else { continue };
             if let Some(reason) = self.objection(&held.order.clone(), now) {
                 self.give_back(task, reason, now);
             }
         }
-        self.queue.retain(|task| self.held.contains_key(task));
+        self.queue.retain(|(_, task)| self.held.contains_key(task));
         self.run_next(now);
     }
 
--- a/crates/core/src/agent/event.rs
+++ b/crates/core/src/agent/event.rs
@@ -25,7 +25,7 @@
     fn default() -> Self {
         Self {
             slots: 8,
-            queue: 8,
+            queue: 32,
             outcome_kept: Duration::from_secs(10),
             outcomes_kept: 100_000,
             answer_bytes: 16 << 20,
--- a/crates/core/src/directory/server.rs
+++ b/crates/core/src/directory/server.rs
@@ -28,6 +28,8 @@
     pub services: Vec<ServiceName>,
     /// Tasks that it runs at once.
     pub slots: u32,
+    /// Slots that may run and queue there together.
+    pub room: u32,
     /// Slots running and queued there, from all entries.
     pub load: u32,
     /// Of these, slots of the entry that is told.
--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -209,8 +209,7 @@
         let asked = here.saturating_add(u32::try_from(request.tasks.len()).unwrap_or(u32::MAX));
         let elsewhere: u32 =
             self.peer_load.values().filter_map(|teams| teams.get(&request.team)).sum();
-        let entries = u32::try_from(self.peer_load.len()).unwrap_or(u32::MAX).saturating_add(1);
-        let share = quota.tasks_in_flight / entries;
+        let share = quota.tasks_in_flight / self.entries();
         let allowed = share.max(quota.tasks_in_flight.saturating_sub(elsewhere));
         if asked <= allowed {
             return Ok(());
@@ -278,7 +277,7 @@
         let Some(spec) = self.ledger.configuration().services.get(&request.service) else { return };
         let digest = claim.map_or(0, |_| content_digest(&request.tasks));
         let mut job = HeldJob::new(id, ticket, request, spec, now.elapsed);
-        job.rank = now.elapsed + self.limits.task_surcharge * job.task_count();
+        job.surcharge = self.limits.task_surcharge * job.task_count();
         job.claim = claim;
         job.digest = digest;
         self.held_tasks += job.tasks.len();
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -2,7 +2,7 @@
 
 use super::{EntryAction, EntryMachine, NotStartedReason, StartOrder};
 use crate::error::{ErrorKind, RefusalFigures};
-use crate::id::{SubmissionId, TaskId};
+use crate::id::{ServiceName, SubmissionId, TaskId};
 use crate::lifecycle::{DomainState, JobState, TaskEvent, TaskState};
 use crate::placement::PlacementCandidate;
 use crate::time::Moment;
@@ -27,7 +27,7 @@
     /// Queues every task of an admitted job and places what can be placed.
     pub(super) fn enqueue(&mut self, id: SubmissionId, now: Moment) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let (service, team, rank) = (job.service.clone(), job.team.clone(), job.rank);
+        let (service, team, rank) = (job.service.clone(), job.team.clone(), job.rank());
         for index in 0..job.task_count() {
             self.retries.earn();
             self.queue.push(&service, &team, TaskId::new(id, index), rank);
@@ -40,14 +40,24 @@
         if !self.is_fresh(now) {
             return;
         }
-        let service: crate::id::ServiceName = service.into();
+        let service: ServiceName = service.into();
         let services = [service];
-        while let Some(task) = self.pop(&services) {
-            if self.place(task, now) == PlaceOutcome::Wait {
-                self.put_back(task);
-                return;
+        while self.place_next(&services, now) != PlaceOutcome::Wait {}
+    }
+
+    /// Places the next waiting task of `services`; `Wait` where there is none or none can go.
+    fn place_next(&mut self, services: &[ServiceName], now: Moment) -> PlaceOutcome {
+        let Some((task, team)) = self.queue.pop(services) else { return PlaceOutcome::Wait };
+        let outcome = self.place(task, now);
+        match outcome {
+            PlaceOutcome::Wait => self.put_back(task),
+            PlaceOutcome::Sent => {
+                let quota = self.ledger.configuration().quotas.get(&team);
+                self.queue.charge(&team, quota.map_or(1, |quota| quota.weight));
             }
+            PlaceOutcome::Gone => {}
         }
+        outcome
     }
 
     /// Fills the server at `index` with waiting tasks of the services that it offers.
@@ -58,9 +68,7 @@
         let Some(server) = self.directory.get(index) else { return };
         let services = server.services().to_vec();
         while self.has_room(index, 1, now) {
-            let Some(task) = self.pop(&services) else { return };
-            if self.place(task, now) == PlaceOutcome::Wait {
-                self.put_back(task);
+            if self.place_next(&services, now) == PlaceOutcome::Wait {
                 return;
             }
         }
@@ -74,15 +82,9 @@
         }
     }
 
-    fn pop(&mut self, services: &[crate::id::ServiceName]) -> Option<TaskId> {
-        let quotas = &self.ledger.configuration().quotas;
-        let weight = |team: &crate::id::TeamName| quotas.get(team).map_or(1, |quota| quota.weight);
-        self.queue.pop(services, weight)
-    }
-
     pub(super) fn put_back(&mut self, task: TaskId) {
         let Some(job) = self.jobs.get(&task.submission) else { return };
-        let (service, team, rank) = (job.service.clone(), job.team.clone(), job.rank);
+        let (service, team, rank) = (job.service.clone(), job.team.clone(), job.rank());
         self.queue.push(&service, &team, task, rank);
     }
 
@@ -138,14 +140,28 @@
     }
 
     /// Whether the server at `index` may be sent `slots` more.
+    ///
+    /// Each entry may fill its share of the slots even where the others have filled the rest, since
+    /// the agent's queue puts the tasks of small jobs first.
     fn has_room(&self, index: usize, slots: u32, now: Moment) -> bool {
         if !self.directory.takes_work(index, self.ledger.configuration()) {
             return false;
         }
         let Some(server) = self.directory.get(index) else { return false };
         let most = server.latest().slots;
-        let allowed = self.ramped(server.domain(), most, now).saturating_add(self.limits.ahead);
-        slots <= most && server.load() + slots <= allowed.max(slots)
+        let ramped = self.ramped(server.domain(), most, now);
+        let allowed = ramped.saturating_add(self.limits.ahead);
+        let share = (ramped / self.entries()).max(ramped.min(1));
+        let is_within_share = server.own() + slots <= share;
+        let load = server.load() + slots;
+        slots <= most
+            && load <= server.latest().room
+            && (load <= allowed.max(slots) || is_within_share)
+    }
+
+    /// Entries that share the servers, this one included.
+    pub(super) fn entries(&self) -> u32 {
+        u32::try_from(self.peer_load.len()).unwrap_or(u32::MAX).saturating_add(1)
     }
 
     /// Slots of a server that may be filled while its failure domain returns.
@@ -166,7 +182,7 @@
         let Some(server) = self.directory.get_mut(candidate.index) else { return };
         let incarnation = server.incarnation();
         let address = server.latest().address.clone();
-        let due = job.due;
+        let (due, surcharge) = (job.due, job.surcharge);
         let service = job.service.clone();
         let task = &mut job.tasks[id.index as usize];
         if !task.advance(TaskEvent::Send) {
@@ -188,6 +204,7 @@
             service,
             request: task.request.request.clone(),
             slots: task.slots,
+            surcharge,
             payload: task.request.payload.clone(),
             version,
             permit_until: server.agent_time(until),
--- a/crates/core/src/entry/exchange.rs
+++ b/crates/core/src/entry/exchange.rs
@@ -19,6 +19,8 @@
     pub request: RequestName,
     /// Slots that it takes.
     pub slots: u32,
+    /// Time by which the size of its job puts it back in the agent's queue.
+    pub surcharge: Duration,
     /// Body for the backend server.
     pub payload: Bytes,
     /// Configuration version that allowed the start.
--- a/crates/core/src/entry/limits.rs
+++ b/crates/core/src/entry/limits.rs
@@ -59,7 +59,7 @@
             tasks_per_job: 790,
             tasks_held: 50_000,
             longest_deadline: Duration::from_secs(120),
-            ahead: 1,
+            ahead: 0,
             task_surcharge: Duration::from_millis(50),
             attempts: 4,
             retry_ratio: 0.2,
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -120,8 +120,8 @@
     pub arrived: Duration,
     /// When its answer is due.
     pub due: Duration,
-    /// Order of its tasks among those that wait.
-    pub rank: Duration,
+    /// Time by which its size puts its tasks back in every queue.
+    pub surcharge: Duration,
     /// Its claim, where a request is non-idempotent.
     pub claim: Option<ClaimKey>,
     /// Digest of its tasks, where it has a claim.
@@ -150,7 +150,7 @@
             service: request.service,
             arrived: now,
             due,
-            rank: now,
+            surcharge: Duration::ZERO,
             claim: None,
             digest: 0,
             tasks: request.tasks.into_iter().map(|task| HeldTask::new(task, spec)).collect(),
@@ -180,6 +180,11 @@
         u32::try_from(self.tasks.len()).unwrap_or(u32::MAX)
     }
 
+    /// Order of its tasks among those that wait here.
+    pub fn rank(&self) -> Duration {
+        self.arrived + self.surcharge
+    }
+
     /// Number of tasks not yet answered.
     pub fn open_tasks(&self) -> usize {
         self.tasks.len() - self.answered
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -66,12 +66,8 @@
         queue
     }
 
-    /// Next task for a server that offers `services`; `weight` gives the weight of a team.
-    pub fn pop(
-        &mut self,
-        services: &[ServiceName],
-        weight: impl Fn(&TeamName) -> u32,
-    ) -> Option<TaskId> {
+    /// Next task for a server that offers `services`, with its team, which is to be charged for it.
+    pub fn pop(&mut self, services: &[ServiceName]) -> Option<(TaskId, TeamName)> {
         let waiting = services.iter().filter_map(|name| {
             let queue = self.services.get(name).filter(|queue| !queue.tasks.is_empty())?;
             let team = queue.team.as_ref()?;
@@ -81,11 +77,17 @@
         let queue = self.services.get_mut(name)?;
         let (_, task) = queue.tasks.pop_first()?;
         let team = queue.team.clone()?;
-        let stride = STRIDE / u64::from(weight(&team).max(1));
-        self.passes.insert(team, pass + stride);
         self.present = pass;
         self.len -= 1;
-        Some(task)
+        Some((task, team))
+    }
+
+    /// Charges a team of `weight` for one task sent.
+    pub fn charge(&mut self, team: &TeamName, weight: u32) {
+        let stride = STRIDE / u64::from(weight.max(1));
+        if let Some(pass) = self.passes.get_mut(team) {
+            *pass += stride;
+        }
     }
 
     /// Removes the tasks for which `keep` is false; used when many jobs end together.
--- a/crates/core/tests/explore/world.rs
+++ b/crates/core/tests/explore/world.rs
@@ -708,6 +708,7 @@
             worker: "w".into(),
             services: vec!["s".into()],
             slots: 2,
+            room: process.machine.room(),
             load: load.load,
             own: load.own,
             is_leaving: process.machine.is_leaving(),
--- a/crates/core/tests/parts.rs
+++ b/crates/core/tests/parts.rs
@@ -205,8 +205,11 @@
     }
     let services = ["heavy".into(), "light".into()];
 
-    let weight = |team: &parsleyspool_core::id::TeamName| if **team == *"h" { 3 } else { 1 };
-    let taken = (0..20).filter_map(|_| queue.pop(&services, weight));
+    let taken = (0..20).filter_map(|_| {
+        let (task, team) = queue.pop(&services)?;
+        queue.charge(&team, if *team == *"h" { 3 } else { 1 });
+        Some(task)
+    });
     let heavy = taken.filter(|task| task.submission == 1).count();
 
     assert_eq!(heavy, 15);
--- a/crates/core/tests/session/desk.rs
+++ b/crates/core/tests/session/desk.rs
@@ -283,6 +283,7 @@
             worker: "w".into(),
             services: vec!["s".into()],
             slots: 4,
+            room: 8,
             load: 0,
             own: 0,
             is_leaving: false,
--- a/crates/daemon/src/agent/actor.rs
+++ b/crates/daemon/src/agent/actor.rs
@@ -146,6 +146,7 @@
             worker: settings.worker.as_str().into(),
             services: settings.backend.services.iter().map(|name| name.as_str().into()).collect(),
             slots: settings.backend.slots,
+            room: self.machine.room(),
             load: load.load,
             own: load.own,
             is_leaving: self.machine.is_leaving(),
--- a/crates/daemon/src/recorder.rs
+++ b/crates/daemon/src/recorder.rs
@@ -88,11 +88,16 @@
 }
 
 fn write_line(event: &TimelineEvent) {
+    let is_detail = is_detail(event.kind);
+    if is_detail && !tracing::enabled!(tracing::Level::DEBUG) {
+        return;
+    }
     let name = event.kind.name();
     let submission = event.submission.map(parsleyspool_core::id::format_id);
     let subject = event.subject.as_deref();
-    let figures = event.figures.iter().map(ToString::to_string).collect::<Vec<_>>().join(" ");
-    if is_detail(event.kind) {
+    let figures: Vec<String> = event.figures.iter().map(ToString::to_string).collect();
+    let figures = figures.join(" ");
+    if is_detail {
         tracing::debug!(event = name, submission, task = event.task, subject, figures);
     } else {
         tracing::info!(event = name, submission, task = event.task, subject, figures);
--- a/crates/questionnaire/src/generate.rs
+++ b/crates/questionnaire/src/generate.rs
@@ -32,6 +32,8 @@
 const LOG_TIMEOUT: Duration = Duration::from_secs(1);
 /// Wait of a read at the end of a stream.
 const LOG_WAIT: Duration = Duration::from_millis(500);
+/// Tasks that may wait at an agent, for each slot.
+const QUEUE_FACTOR: u32 = 4;
 /// Bound of a planned stop.
 const DRAIN: Duration = Duration::from_secs(30);
 /// Time after which a backend server's answer is given up.
@@ -135,7 +137,10 @@
             timeout: BACKEND_TIMEOUT,
             answer_bytes: ANSWER_BYTES,
         },
-        limits: AgentLimitSettings { queue: server.slots, ..AgentLimitSettings::default() },
+        limits: AgentLimitSettings {
+            queue: server.slots * QUEUE_FACTOR,
+            ..AgentLimitSettings::default()
+        },
         telemetry: TelemetrySettings::default(),
         drain: DRAIN,
     }
@@ -162,7 +167,7 @@
     }
     let limits = limits(answers);
     lines.push(format!(
-        "priority: {} slots are filled ahead at each server, and a returning failure domain is \
+        "priority: slots filled ahead at each server: {}; a returning failure domain is \
          filled within {}",
         limits.ahead,
         humantime::format_duration(limits.ramp)
--- a/crates/questionnaire/src/question.rs
+++ b/crates/questionnaire/src/question.rs
@@ -96,21 +96,20 @@
             Stage::LogUrl => ask("Where is the log?", "URL", "http://127.0.0.1:7300"),
             Stage::Retention => ask("For how long does it keep records?", "duration", "1h"),
             Stage::Domains => ask("Which failure domains are there?", "names", ""),
-            Stage::Service => ask("Name a service; nothing to go on.", "name", ""),
+            Stage::Service => ask("Name a service; an empty line goes on.", "name", ""),
             Stage::Deadline => ask("Within what time must it answer?", "duration", "10s"),
             Stage::Request => ask(
-                "Name a request with its run time, and whether a second run has no further \
-                 effect; nothing to go on.",
+                "Name a request, its run time and its effect; an empty line goes on.",
                 "name duration idempotent|non-idempotent [slots]",
                 "",
             ),
             Stage::Entry => ask(
-                "Name an entry with its failure domain and its two listeners; nothing to go on.",
+                "Name an entry, its failure domain and listeners; an empty line goes on.",
                 "name domain callers-ip:port peers-ip:port",
                 "",
             ),
             Stage::Server => ask(
-                "Name a backend server; nothing to end.",
+                "Name a backend server; an empty line ends.",
                 "name domain worker agent-ip:port url slots connections service...",
                 "",
             ),
--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -23,6 +23,8 @@
     Load(cmd::load::LoadArgs),
     /// Compare reports of several runs: median and spread of each variant.
     Compare(cmd::compare::CompareArgs),
+    /// Measure the cost of the decision parts against the size of the system.
+    Cost(cmd::cost::CostArgs),
     /// Serve an example backend server.
     Backend(cmd::backend::BackendArgs),
 }
@@ -34,6 +36,7 @@
             Command::Run(args) => args.run().await,
             Command::Log(args) => args.run().await,
             Command::Load(args) => args.run().await,
+            Command::Cost(args) => args.run(),
             Command::Compare(args) => args.run(),
             Command::Backend(args) => args.run().await,
         }
--- a/crates/standins/src/cmd.rs
+++ b/crates/standins/src/cmd.rs
@@ -2,6 +2,7 @@
 
 pub mod backend;
 pub mod compare;
+pub mod cost;
 pub mod load;
 pub mod log;
 pub mod run;
--- /dev/null
+++ b/crates/standins/src/cmd/cost.rs
@@ -0,0 +1,64 @@
+//! `parsleyspool-standins cost`.
+
+use clap::Args;
+use error_stack::Report;
+use parsleyspool_standins::cost::{
+    LinearFit, agent_task, claim_memory, config_change, entry_heartbeat, entry_job_task,
+    entry_memory, entry_task, entry_tick, message_sizes,
+};
+use parsleyspool_standins::error::StandinError;
+use std::time::Duration;
+
+/// Arguments of `cost`.
+#[derive(Debug, Args)]
+pub struct CostArgs {}
+
+/// Servers that an entry knows.
+const SERVERS: [usize; 4] = [10, 100, 1_000, 7_800];
+/// Teams.
+const TEAMS: [usize; 4] = [1, 10, 35, 70];
+/// Tasks in a job.
+const TASKS: [usize; 4] = [1, 10, 100, 790];
+/// Claims held.
+const CLAIMS: [u64; 4] = [10_000, 50_000, 100_000, 200_000];
+/// Configuration changes.
+const CHANGES: [u64; 4] = [1_000, 4_000, 8_000, 17_000];
+/// Starts of an agent.
+const STARTS: [u32; 4] = [1_000, 5_000, 10_000, 20_000];
+/// Entries named in a directive.
+const ENTRIES: [usize; 4] = [3, 10, 21, 42];
+
+impl CostArgs {
+    /// Measures every row and prints it with its fit.
+    pub fn run(self) -> Result<(), Report<StandinError>> {
+        let micros = |time: Duration| time.as_secs_f64() * 1e6;
+        print("entry_memory_bytes", &SERVERS, |&size| entry_memory(size) as f64);
+        print("claim_memory_bytes", &CLAIMS, |&size| claim_memory(size) as f64);
+        print("entry_task_us by servers", &SERVERS, |&size| micros(entry_task(size, 1)));
+        print("entry_task_us by teams", &TEAMS, |&size| micros(entry_task(100, size)));
+        print("entry_task_us by tasks in a job", &TASKS, |&size| micros(entry_job_task(size)));
+        print("entry_heartbeat_us by servers", &SERVERS, |&size| micros(entry_heartbeat(size)));
+        print("entry_tick_us by servers", &SERVERS, |&size| micros(entry_tick(size)));
+        print("agent_task_us by starts", &STARTS, |&size| micros(agent_task(size)));
+        print("config_change_us by changes", &CHANGES, |&size| micros(config_change(size)));
+        print("heartbeat_bytes by entries", &ENTRIES, |&size| message_sizes(size).heartbeat as f64);
+        print("directive_bytes by entries", &ENTRIES, |&size| message_sizes(size).directive as f64);
+        print("start_bytes by entries", &ENTRIES, |&size| message_sizes(size).start as f64);
+        Ok(())
+    }
+}
+
+fn print<T: Copy + TryInto<u64>>(name: &str, sizes: &[T], measure: impl Fn(&T) -> f64) {
+    let size = |size: T| size.try_into().unwrap_or(0) as f64;
+    let points: Vec<(f64, f64)> = sizes.iter().map(|&at| (size(at), measure(&at))).collect();
+    let shown: Vec<String> =
+        points.iter().map(|(size, value)| format!("{size:.0}:{value:.3}")).collect();
+    let fit = LinearFit::of(&points);
+    println!(
+        "{name} {} slope={:.6} intercept={:.3} residual={:.3}",
+        shown.join(" "),
+        fit.slope,
+        fit.intercept,
+        fit.residual
+    );
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`proxy`] for a network that goes silent, and [`embedded`] puts all roles into one process.
 
 pub mod backend;
+pub mod cost;
 pub mod embedded;
 pub mod error;
 pub mod experiment;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -76,6 +76,8 @@
     pub request: String,
     /// Slots.
     pub slots: u32,
+    /// Time by which it goes back in the agent's queue, in microseconds.
+    pub surcharge_us: u64,
     /// Body for the backend server.
     pub payload: Bytes,
     /// Configuration version that allowed the start.
@@ -97,6 +99,7 @@
             service: order.service.to_string(),
             request: order.request.to_string(),
             slots: order.slots,
+            surcharge_us: micros(order.surcharge),
             payload: order.payload,
             version: order.version,
             permit_until_us: micros(order.permit_until),
@@ -114,6 +117,7 @@
             service: wire.service.into(),
             request: wire.request.into(),
             slots: wire.slots.max(1),
+            surcharge: Duration::from_micros(wire.surcharge_us),
             payload: wire.payload,
             version: wire.version,
             permit_until: Duration::from_micros(wire.permit_until_us),
@@ -316,6 +320,8 @@
     pub services: Vec<String>,
     /// Slots.
     pub slots: u32,
+    /// Slots that may run and queue there together.
+    pub room: u32,
     /// Slots taken.
     pub load: u32,
     /// Of these, slots of the entry that is told.
@@ -339,6 +345,7 @@
             worker: wire.worker.into(),
             services: wire.services.into_iter().map(Into::into).collect(),
             slots: wire.slots,
+            room: wire.room,
             load: wire.load,
             own: wire.own,
             is_leaving: wire.is_leaving,
@@ -359,6 +366,7 @@
             worker: report.worker.to_string(),
             services: report.services.iter().map(ToString::to_string).collect(),
             slots: report.slots,
+            room: report.room,
             load: report.load,
             own: report.own,
             is_leaving: report.is_leaving,
