--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -179,14 +179,15 @@
 
     fn check_fit(&self, request: &JobRequest, _now: Moment) -> Result<(), JobError> {
         let spec = find_spec(self.ledger.configuration(), request)?;
-        let offering = self.directory.offering(&request.service).iter();
-        let servers = offering.filter_map(|&index| self.directory.get(index));
-        let most = servers.map(|server| server.latest().slots).max().unwrap_or(0);
         let rules = request.tasks.iter().filter_map(|task| spec.requests.get(&task.request));
         let needed = rules.map(|rule| rule.slots).max().unwrap_or(1);
-        if needed <= most {
+        let offering = self.directory.offering(&request.service).iter();
+        let slots = offering.filter_map(|&index| Some(self.directory.get(index)?.latest().slots));
+        // Mostly the first server looked at is large enough.
+        if slots.clone().any(|slots| needed <= slots) {
             return Ok(());
         }
+        let most = slots.max().unwrap_or(0);
         let figures = RefusalFigures::new("slots_per_server", most.into(), needed.into());
         Err(JobError::new(ErrorKind::CannotRun, figures))
     }
