--- /dev/null
+++ b/crates/cli/tests/processes/caller.rs
@@ -0,0 +1,57 @@
+//! Callers of the entries.
+
+use parsleyspool_wire::caller::{AnswerBody, ErrorBody, SubmitBody};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// What a caller got.
+#[derive(Debug)]
+pub struct CallerReply {
+    pub took: Duration,
+    status: Option<u16>,
+    body: Vec<u8>,
+}
+
+impl CallerReply {
+    pub fn is_whole(&self) -> bool {
+        self.status == Some(200) && serde_json::from_slice::<AnswerBody>(&self.body).is_ok()
+    }
+
+    /// Kind of the refusal or failure.
+    pub fn kind(&self) -> Option<String> {
+        serde_json::from_slice::<ErrorBody>(&self.body).ok().map(|body| body.kind)
+    }
+
+    /// Whether the entry went away under the caller.
+    pub fn is_entry_gone(&self) -> bool {
+        self.status.is_none()
+    }
+
+    /// Refusal or failure.
+    pub fn error(&self) -> Option<ErrorBody> {
+        serde_json::from_slice(&self.body).ok()
+    }
+}
+
+/// Replies that are not whole, for messages.
+pub fn unwhole(replies: &[CallerReply]) -> Vec<String> {
+    let unwhole = replies.iter().filter(|reply| !reply.is_whole());
+    unwhole.map(|reply| String::from_utf8_lossy(&reply.body).into_owned()).collect()
+}
+
+/// Submits a job and waits for its answer.
+pub async fn submit(client: reqwest::Client, callers: SocketAddr, job: SubmitBody) -> CallerReply {
+    let started = Instant::now();
+    let request = client.post(format!("http://{callers}/v1/jobs")).json(&job);
+    let (status, body) = match request.send().await {
+        Ok(response) => {
+            let status = response.status().as_u16();
+            match response.bytes().await {
+                Ok(body) => (Some(status), body.to_vec()),
+                Err(_) => (None, Vec::new()),
+            }
+        }
+        Err(_) => (None, Vec::new()),
+    };
+    CallerReply { took: started.elapsed(), status, body }
+}
--- a/crates/cli/tests/processes/deployment.rs
+++ b/crates/cli/tests/processes/deployment.rs
@@ -1,17 +1,14 @@
 //! Deployment of real processes with the log and the backend servers as stand-ins.
 
+use crate::caller::{CallerReply, submit};
 use futures_util::future::join_all;
-use parsleyspool_core::checker::{CheckGrace, ObservedEvent, check};
-use parsleyspool_core::id::parse_id;
-use parsleyspool_core::timeline::TimelineEvent;
+use parsleyspool_core::config::ConfigChange;
 use parsleyspool_standins::backend::{self, BackendModel, ExampleBackend};
 use parsleyspool_standins::log::{LogFaults, LogStreams, server as log_server};
-use parsleyspool_wire::caller::{AnswerBody, ErrorBody, SubmitBody, TaskBody};
-use parsleyspool_wire::operator::{
-    ChangeBody, ChangeOutcomeBody, ConfigBody, StatusBody, TimelineBody,
-};
+use parsleyspool_wire::caller::{SubmitBody, TaskBody};
+use parsleyspool_wire::operator::{ChangeBody, ChangeOutcomeBody, ConfigBody, TimelineBody};
 use parsleyspool_wire::settings::{ChangeWire, QuotaWire, RequestWire, ServiceWire};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -19,72 +16,38 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_parsleyspool");
 const DOMAINS: usize = 3;
 /// Polls before a wait is given up; the bound of the whole test is the test runner's.
-const POLLS: u32 = 1500;
-const POLL: Duration = Duration::from_millis(20);
-
-/// What a caller got.
-#[derive(Debug)]
-pub struct CallerReply {
-    pub took: Duration,
-    status: Option<u16>,
-    body: Vec<u8>,
-}
-
-impl CallerReply {
-    pub fn is_whole(&self) -> bool {
-        self.status == Some(200) && serde_json::from_slice::<AnswerBody>(&self.body).is_ok()
-    }
-
-    /// Kind of the refusal or failure.
-    pub fn kind(&self) -> Option<String> {
-        serde_json::from_slice::<ErrorBody>(&self.body).ok().map(|body| body.kind)
-    }
-
-    /// Whether the entry went away under the caller.
-    pub fn is_entry_gone(&self) -> bool {
-        self.status.is_none()
-    }
+pub const POLLS: u32 = 1500;
+pub const POLL: Duration = Duration::from_millis(20);
 
-    fn error(&self) -> Option<ErrorBody> {
-        serde_json::from_slice(&self.body).ok()
-    }
-}
-
-/// Replies that are not whole, for messages.
-pub fn unwhole(replies: &[CallerReply]) -> Vec<String> {
-    let unwhole = replies.iter().filter(|reply| !reply.is_whole());
-    unwhole.map(|reply| String::from_utf8_lossy(&reply.body).into_owned()).collect()
+pub struct EntryPlace {
+    pub callers: SocketAddr,
+    pub peers: SocketAddr,
+    pub child: Option<Child>,
 }
 
-struct EntryPlace {
-    callers: SocketAddr,
-    peers: SocketAddr,
-    child: Option<Child>,
-}
-
-struct AgentPlace {
-    listen: SocketAddr,
+pub struct AgentPlace {
+    pub listen: SocketAddr,
     backend: SocketAddr,
-    child: Option<Child>,
+    pub child: Option<Child>,
 }
 
 pub struct Deployment {
     log: Arc<LogStreams>,
     log_address: SocketAddr,
-    entries: Vec<EntryPlace>,
-    agents: Vec<AgentPlace>,
-    backends: Vec<Arc<ExampleBackend>>,
+    pub entries: Vec<EntryPlace>,
+    pub agents: Vec<AgentPlace>,
+    pub backends: Vec<Arc<ExampleBackend>>,
     directory: PathBuf,
     client: reqwest::Client,
     jobs: AtomicUsize,
     /// Events of processes that are gone.
-    kept: Vec<TimelineBody>,
+    pub kept: Vec<TimelineBody>,
 }
 
 impl Drop for Deployment {
@@ -220,7 +183,7 @@
 
     /// Makes a change and returns the version from which it is in force.
     pub async fn change(&self, change: ChangeWire) -> u64 {
-        let subject = parsleyspool_core::config::ConfigChange::from(change.clone()).subject();
+        let subject = ConfigChange::from(change.clone()).subject();
         let config: ConfigBody = self.get(0, "/v1/config").await.expect("the entry answers");
         let base = config.configuration.subjects.get(&subject.to_string()).copied().unwrap_or(0);
         let id = uuid::Uuid::new_v4().simple().to_string();
@@ -233,11 +196,11 @@
         }
     }
 
-    async fn get<T: serde::de::DeserializeOwned>(&self, entry: usize, path: &str) -> Option<T> {
+    pub async fn get<T: serde::de::DeserializeOwned>(&self, entry: usize, path: &str) -> Option<T> {
         self.get_at(self.entries[entry].peers, path).await
     }
 
-    async fn get_at<T: serde::de::DeserializeOwned>(
+    pub async fn get_at<T: serde::de::DeserializeOwned>(
         &self,
         address: SocketAddr,
         path: &str,
@@ -247,57 +210,6 @@
         response.json().await.ok()
     }
 
-    async fn wait_status(&self, what: &str, is_reached: impl Fn(&StatusBody) -> bool) {
-        for entry in 0..self.entries.len() {
-            if self.entries[entry].child.is_none() {
-                continue;
-            }
-            let mut polls = 0;
-            while !self.get(entry, "/v1/status").await.is_some_and(|status| is_reached(&status)) {
-                polls += 1;
-                assert!(polls < POLLS, "entry {entry} never reached: {what}");
-                tokio::time::sleep(POLL).await;
-            }
-        }
-    }
-
-    pub async fn wait_freshness(&self, word: &str) {
-        self.wait_status(word, |status| status.freshness == word).await;
-    }
-
-    async fn wait_entries(&self, entries: usize) {
-        let is_known = |status: &StatusBody| {
-            status.processes.iter().filter(|process| process.role == "entry").count() >= entries
-        };
-        self.wait_status("all entries", is_known).await;
-    }
-
-    async fn wait_serving(&self, agents: usize) {
-        let is_serving = |status: &StatusBody| {
-            let agents_seen = status.processes.iter().filter(|process| process.role == "agent");
-            agents_seen.filter(|process| process.state == "serving").count() >= agents
-        };
-        self.wait_status("serving agents", is_serving).await;
-    }
-
-    /// Waits until every process that an entry knows holds `version`.
-    pub async fn wait_version(&self, version: u64) {
-        let is_held =
-            |status: &StatusBody| status.processes.iter().all(|process| process.version >= version);
-        self.wait_status("the version everywhere", is_held).await;
-    }
-
-    pub async fn wait_jobs(&self, entry: usize, jobs: usize) {
-        for _ in 0..POLLS {
-            let status: Option<StatusBody> = self.get(entry, "/v1/status").await;
-            if status.is_some_and(|status| status.jobs >= jobs) {
-                return;
-            }
-            tokio::time::sleep(Duration::from_millis(2)).await;
-        }
-        panic!("entry {entry} never held {jobs} jobs");
-    }
-
     pub fn set_log_away(&self, is_away: bool) {
         self.log.set_faults(LogFaults { is_away, ..LogFaults::default() });
     }
@@ -424,80 +336,6 @@
         signal(&child, "TERM");
         wait_exit(child).await
     }
-
-    /// Starts that the backend server at `index` saw.
-    pub fn starts_at(&self, index: usize) -> u32 {
-        self.backends[index].starts().iter().map(|(_, count)| count).sum()
-    }
-
-    /// Starts of the tasks whose payload names `key`.
-    pub fn starts_of(&self, key: &str) -> u32 {
-        let starts = self.backends.iter().flat_map(|backend| backend.starts());
-        starts.filter(|(start, _)| start.key == key).map(|(_, count)| count).sum()
-    }
-
-    fn starts(&self) -> HashMap<(String, u32), u32> {
-        let mut starts = HashMap::new();
-        for (start, count) in self.backends.iter().flat_map(|backend| backend.starts()) {
-            *starts.entry((start.submission, start.task)).or_insert(0) += count;
-        }
-        starts
-    }
-
-    pub fn assert_nothing_started_twice(&self) {
-        let twice: Vec<_> = self.starts().into_iter().filter(|(_, count)| *count > 1).collect();
-        assert!(twice.is_empty(), "started twice: {twice:?}");
-    }
-
-    pub fn assert_refusals_true(&self, replies: &[CallerReply]) {
-        let starts = self.starts();
-        for error in replies.iter().filter_map(CallerReply::error).filter(|error| error.not_run) {
-            let ran = starts.keys().any(|(submission, _)| *submission == error.submission);
-            assert!(!ran, "{error:?} was run");
-        }
-    }
-
-    /// Checks the promises over the time lines of the processes that still answer.
-    pub async fn verify(&self) {
-        let mut bodies = self.kept.clone();
-        let entries = self.entries.iter().filter(|place| place.child.is_some());
-        let agents = self.agents.iter().filter(|place| place.child.is_some());
-        let addresses = entries.map(|place| place.peers).chain(agents.map(|place| place.listen));
-        for address in addresses {
-            bodies.extend(self.get_at::<TimelineBody>(address, "/v1/timeline").await);
-        }
-        let events: Vec<ObservedEvent> = bodies.iter().flat_map(observed).collect();
-        let report = check(&events, CheckGrace::default());
-        assert!(report.breaches.is_empty(), "{:?}", report.breaches);
-        assert!(report.starts > 0);
-    }
-}
-
-fn observed(body: &TimelineBody) -> Vec<ObservedEvent> {
-    let incarnation = parse_id(&body.incarnation).and_then(|id| u64::try_from(id).ok());
-    let events = body.events.iter().map(|event| ObservedEvent {
-        process: body.process.as_str().into(),
-        incarnation: incarnation.expect("an incarnation"),
-        domain: body.domain.as_str().into(),
-        event: TimelineEvent::try_from(event).expect("a known event"),
-    });
-    events.collect()
-}
-
-async fn submit(client: reqwest::Client, callers: SocketAddr, job: SubmitBody) -> CallerReply {
-    let started = Instant::now();
-    let request = client.post(format!("http://{callers}/v1/jobs")).json(&job);
-    let (status, body) = match request.send().await {
-        Ok(response) => {
-            let status = response.status().as_u16();
-            match response.bytes().await {
-                Ok(body) => (Some(status), body.to_vec()),
-                Err(_) => (None, Vec::new()),
-            }
-        }
-        Err(_) => (None, Vec::new()),
-    };
-    CallerReply { took: started.elapsed(), status, body }
 }
 
 async fn wait_exit(child: Child) -> Option<i32> {
--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -3,9 +3,13 @@
 //! The entries and agents are processes of the product; the log and the backend servers are
 //! stand-ins in the test, so that they can tell what really started.
 
+mod caller;
 mod deployment;
+mod proofs;
+mod waits;
 
-use deployment::{CallerReply, Deployment};
+use caller::{CallerReply, unwhole};
+use deployment::Deployment;
 use parsleyspool_wire::settings::{ChangeWire, OrderWire};
 use std::time::Duration;
 
@@ -55,7 +59,7 @@
     deployment.wait_freshness("agreed").await;
     let replies = deployment.submit_many(30).await;
 
-    assert!(replies.iter().all(CallerReply::is_whole), "{:?}", deployment::unwhole(&replies));
+    assert!(replies.iter().all(CallerReply::is_whole), "{:?}", unwhole(&replies));
     assert_all_answered(replies, &deployment).await;
 }
 
@@ -89,7 +93,7 @@
     let before = deployment.starts_at(0);
     let replies = deployment.submit_many(30).await;
 
-    assert!(replies.iter().all(CallerReply::is_whole), "{:?}", deployment::unwhole(&replies));
+    assert!(replies.iter().all(CallerReply::is_whole), "{:?}", unwhole(&replies));
     assert_eq!(deployment.starts_at(0), before);
     assert_all_answered(replies, &deployment).await;
 }
@@ -104,7 +108,7 @@
     }
 
     let replies = load.await;
-    assert!(replies.iter().all(CallerReply::is_whole), "{:?}", deployment::unwhole(&replies));
+    assert!(replies.iter().all(CallerReply::is_whole), "{:?}", unwhole(&replies));
     assert_all_answered(replies, &deployment).await;
 }
 
@@ -121,7 +125,7 @@
     let finished = |reply: &CallerReply| {
         reply.is_whole() || reply.is_entry_gone() || reply.kind().as_deref() == Some("draining")
     };
-    assert!(replies.iter().all(finished), "{:?}", deployment::unwhole(&replies));
+    assert!(replies.iter().all(finished), "{:?}", unwhole(&replies));
     assert!(replies.iter().any(CallerReply::is_whole));
     deployment.assert_nothing_started_twice();
 }
--- /dev/null
+++ b/crates/cli/tests/processes/proofs.rs
@@ -0,0 +1,69 @@
+//! What a deployment and its backend servers prove after a run.
+
+use crate::caller::CallerReply;
+use crate::deployment::Deployment;
+use parsleyspool_core::checker::{CheckGrace, ObservedEvent, check};
+use parsleyspool_core::id::parse_id;
+use parsleyspool_core::timeline::TimelineEvent;
+use parsleyspool_wire::operator::TimelineBody;
+use std::collections::HashMap;
+
+impl Deployment {
+    /// Starts that the backend server at `index` saw.
+    pub fn starts_at(&self, index: usize) -> u32 {
+        self.backends[index].starts().iter().map(|(_, count)| count).sum()
+    }
+
+    /// Starts of the tasks whose payload names `key`.
+    pub fn starts_of(&self, key: &str) -> u32 {
+        let starts = self.backends.iter().flat_map(|backend| backend.starts());
+        starts.filter(|(start, _)| start.key == key).map(|(_, count)| count).sum()
+    }
+
+    fn starts(&self) -> HashMap<(String, u32), u32> {
+        let mut starts = HashMap::new();
+        for (start, count) in self.backends.iter().flat_map(|backend| backend.starts()) {
+            *starts.entry((start.submission, start.task)).or_insert(0) += count;
+        }
+        starts
+    }
+
+    pub fn assert_nothing_started_twice(&self) {
+        let twice: Vec<_> = self.starts().into_iter().filter(|(_, count)| *count > 1).collect();
+        assert!(twice.is_empty(), "started twice: {twice:?}");
+    }
+
+    pub fn assert_refusals_true(&self, replies: &[CallerReply]) {
+        let starts = self.starts();
+        for error in replies.iter().filter_map(CallerReply::error).filter(|error| error.not_run) {
+            let ran = starts.keys().any(|(submission, _)| *submission == error.submission);
+            assert!(!ran, "{error:?} was run");
+        }
+    }
+
+    /// Checks the promises over the time lines of the processes that still answer.
+    pub async fn verify(&self) {
+        let mut bodies = self.kept.clone();
+        let entries = self.entries.iter().filter(|place| place.child.is_some());
+        let agents = self.agents.iter().filter(|place| place.child.is_some());
+        let addresses = entries.map(|place| place.peers).chain(agents.map(|place| place.listen));
+        for address in addresses {
+            bodies.extend(self.get_at::<TimelineBody>(address, "/v1/timeline").await);
+        }
+        let events: Vec<ObservedEvent> = bodies.iter().flat_map(observed).collect();
+        let report = check(&events, CheckGrace::default());
+        assert!(report.breaches.is_empty(), "{:?}", report.breaches);
+        assert!(report.starts > 0);
+    }
+}
+
+fn observed(body: &TimelineBody) -> Vec<ObservedEvent> {
+    let incarnation = parse_id(&body.incarnation).and_then(|id| u64::try_from(id).ok());
+    let events = body.events.iter().map(|event| ObservedEvent {
+        process: body.process.as_str().into(),
+        incarnation: incarnation.expect("an incarnation"),
+        domain: body.domain.as_str().into(),
+        event: TimelineEvent::try_from(event).expect("a known event"),
+    });
+    events.collect()
+}
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -14,7 +14,7 @@
 use crate::error::DaemonError;
 use crate::exchange::HttpExchange;
 use crate::http::bind;
-use crate::life::{DaemonLife, Draining, LifeWord, Serving, Starting, Stopped};
+use crate::life::{DaemonLife, Draining, LifeWord, ListenerTask, Serving, Starting, Stopped};
 use crate::recorder::EventRecorder;
 use crate::settings::AgentSettings;
 use crate::telemetry::logging::LogControl;
@@ -52,7 +52,7 @@
     listener: Option<TcpListener>,
     shared: Arc<AgentShared>,
     tasks: Vec<JoinHandle<()>>,
-    server: Option<(oneshot::Sender<()>, JoinHandle<()>)>,
+    server: Option<ListenerTask>,
 }
 
 /// What the tasks of an agent share.
@@ -168,11 +168,11 @@
         let (address, shared) = (daemon.address.clone(), daemon.shared.clone());
         if let Some(listener) = daemon.listener.take() {
             let (stop, stopped) = oneshot::channel::<()>();
-            let server = warp::serve(routes::routes(address.clone(), shared.clone()));
+            let server = warp::serve(routes::routes(address.clone(), &shared));
             let server = server.incoming(listener).graceful(async move {
                 let _ = stopped.await;
             });
-            daemon.server = Some((stop, tokio::spawn(server.run())));
+            daemon.server = Some(ListenerTask::new(stop, tokio::spawn(server.run())));
         }
         daemon.tasks.push(tokio::spawn(heartbeat::beat_all(address.clone(), shared)));
         daemon.tasks.push(tokio::spawn(actor::tick(address)));
@@ -185,8 +185,6 @@
 
 /// Time for starts under way to arrive after every entry has heard of the drain.
 const LINGER: Duration = Duration::from_millis(200);
-/// Time for the listener to write its last replies.
-const SERVER_STOP: Duration = Duration::from_secs(2);
 /// Time between two looks at the progress of a drain.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -204,7 +202,7 @@
         for task in self.parts.tasks.drain(..) {
             task.abort();
         }
-        if let Some((_, server)) = self.parts.server.take() {
+        if let Some(server) = self.parts.server.take() {
             server.abort();
         }
     }
@@ -223,9 +221,8 @@
         };
         // Starts that left before their entry heard of the drain are still refused in words.
         tokio::time::sleep(LINGER).await;
-        if let Some((stop, server)) = self.parts.server.take() {
-            let _ = stop.send(());
-            let _ = tokio::time::timeout(SERVER_STOP, server).await;
+        if let Some(server) = self.parts.server.take() {
+            server.finish().await;
         }
         for task in self.parts.tasks.drain(..) {
             task.abort();
--- a/crates/daemon/src/agent/routes.rs
+++ b/crates/daemon/src/agent/routes.rs
@@ -2,9 +2,9 @@
 
 use super::AgentShared;
 use super::actor::{AgentActor, AskTask, DecideAgent, QueryAgent, StartTask};
-use crate::entry::set_level;
 use crate::exchange::ASK_HOLD;
-use crate::http::{HttpReply, fault, json, message, message_body, open, recover, reply};
+use crate::http::{HttpReply, fault, json, message, message_body, open, recover};
+use crate::process_http::{self, ProcessIdentity};
 use bytes::Bytes;
 use parsleyspool_core::agent::AgentEvent;
 use parsleyspool_core::entry::{LoadReport, TaskReply};
@@ -18,14 +18,11 @@
 use warp::{Filter, Rejection, Reply};
 use xtra::Address;
 
-/// Largest body of an operator's request, in bytes.
-const MAX_OPERATOR_BYTES: u64 = 1 << 20;
-
 /// Routes for entries and operators.
 pub(crate) fn routes(
     address: Address<AgentActor>,
-    shared: Arc<AgentShared>,
-) -> impl Filter<Extract = (impl Reply,), Error = Infallible> + Clone {
+    shared: &Arc<AgentShared>,
+) -> impl Filter<Extract = (impl Reply + use<>,), Error = Infallible> + Clone + use<> {
     let (actor, with) = (address.clone(), shared.clone());
     let start = warp::path!("peer" / "start")
         .and(warp::post())
@@ -47,8 +44,8 @@
 
 fn operator_routes(
     address: Address<AgentActor>,
-    shared: Arc<AgentShared>,
-) -> impl Filter<Extract = (HttpReply,), Error = Rejection> + Clone {
+    shared: &Arc<AgentShared>,
+) -> impl Filter<Extract = (HttpReply,), Error = Rejection> + Clone + use<> {
     let status = warp::path!("v1" / "status").and(warp::get()).then(move || {
         let address = address.clone();
         async move {
@@ -58,25 +55,16 @@
             }
         }
     });
-    let with = shared.clone();
-    let timeline = warp::path!("v1" / "timeline").and(warp::get()).map(move || {
-        let settings = &with.settings;
-        let mut body = with.recorder.timeline(&settings.name, "agent");
-        body.domain.clone_from(&settings.domain);
-        body.worker.clone_from(&settings.worker);
-        json(StatusCode::OK, &body)
-    });
-    let with = shared.clone();
-    let metrics = warp::path!("metrics").and(warp::get()).map(move || {
-        let text = with.metrics.render();
-        reply(StatusCode::OK, "text/plain; version=0.0.4", text.into_bytes())
-    });
-    let level = warp::path!("v1" / "log-level")
-        .and(warp::put())
-        .and(warp::body::content_length_limit(MAX_OPERATOR_BYTES))
-        .and(warp::body::bytes())
-        .map(move |body: Bytes| set_level(&body, &shared.control));
-    status.or(timeline).unify().or(metrics).unify().or(level).unify()
+    let identity = ProcessIdentity {
+        name: shared.settings.name.clone(),
+        role: "agent",
+        domain: shared.settings.domain.clone(),
+        worker: shared.settings.worker.clone(),
+        recorder: shared.recorder.clone(),
+        metrics: shared.metrics.clone(),
+        control: shared.control.clone(),
+    };
+    status.or(process_http::routes(identity)).unify()
 }
 
 async fn start(body: Bytes, address: Address<AgentActor>, shared: Arc<AgentShared>) -> HttpReply {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -8,8 +8,8 @@
 mod callers;
 mod members;
 mod operators;
-pub(crate) use operators::set_level;
 mod peers;
+mod queries;
 mod streams;
 
 pub use actor::{CallerAnswer, EntryActor};
@@ -18,18 +18,19 @@
 use crate::error::DaemonError;
 use crate::exchange::HttpExchange;
 use crate::http::bind;
-use crate::life::{DaemonLife, Draining, LifeWord, Serving, Starting, Stopped};
+use crate::life::{DaemonLife, Draining, LifeWord, ListenerTask, Serving, Starting, Stopped};
 use crate::log_client::HttpLog;
 use crate::recorder::EventRecorder;
 use crate::settings::{EntryListen, EntrySettings};
 use crate::telemetry::logging::LogControl;
 use crate::telemetry::metrics::DaemonMetrics;
-use actor::{DrainEntry, EntryParts, QueryDrained};
+use actor::{DrainEntry, EntryParts};
 use error_stack::{Report, ResultExt};
 use parsleyspool_core::entry::{EntryIdentity, EntryMachine};
 use parsleyspool_core::id::Incarnation;
 use parsleyspool_core::lifecycle::LifecycleCharts;
 use parsleyspool_core::timeline::{EventFigure, EventKind, TimelineEvent};
+use queries::QueryDrained;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -60,7 +61,7 @@
     peers: Option<TcpListener>,
     shared: Arc<EntryShared>,
     tasks: Vec<JoinHandle<()>>,
-    server: Option<(oneshot::Sender<()>, JoinHandle<()>)>,
+    server: Option<ListenerTask>,
 }
 
 /// What the tasks of an entry share.
@@ -219,10 +220,10 @@
             let server = server.graceful(async move {
                 let _ = stopped.await;
             });
-            daemon.server = Some((stop, tokio::spawn(server.run())));
+            daemon.server = Some(ListenerTask::new(stop, tokio::spawn(server.run())));
         }
         if let Some(listener) = daemon.peers.take() {
-            let routes = peers::routes(address.clone(), shared.clone());
+            let routes = peers::routes(address.clone(), &shared);
             let server = warp::serve(routes).incoming(listener);
             daemon.tasks.push(tokio::spawn(server.run()));
         }
@@ -239,8 +240,6 @@
     }
 }
 
-/// Time for the listener to write its last answers.
-const SERVER_STOP: Duration = Duration::from_secs(2);
 /// Time between two looks at the progress of a drain.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -264,9 +263,8 @@
             tokio::time::sleep(DRAIN_POLL).await;
         };
         members::take_leave(self.parts.incarnation, &self.parts.shared).await;
-        if let Some((stop, server)) = self.parts.server.take() {
-            let _ = stop.send(());
-            let _ = tokio::time::timeout(SERVER_STOP, server).await;
+        if let Some(server) = self.parts.server.take() {
+            server.finish().await;
         }
         for task in self.parts.tasks.drain(..) {
             task.abort();
@@ -284,7 +282,7 @@
         for task in self.parts.tasks.drain(..) {
             task.abort();
         }
-        if let Some((_, server)) = self.parts.server.take() {
+        if let Some(server) = self.parts.server.take() {
             server.abort();
         }
     }
--- a/crates/daemon/src/entry/actor.rs
+++ b/crates/daemon/src/entry/actor.rs
@@ -2,14 +2,13 @@
 
 use super::EntryShared;
 use bytes::Bytes;
-use parsleyspool_core::config::{ApplyOutcome, ConfigRecord, ConfigSnapshot};
+use parsleyspool_core::config::{ConfigRecord, ConfigSnapshot};
 use parsleyspool_core::directory::ServerReport;
 use parsleyspool_core::entry::{
     BrokenReach, EntryAction, EntryEvent, EntryMachine, SentStart, StartOrder, TaskReply,
 };
-use parsleyspool_core::id::{ChangeId, Offset, PeerAddress, SubmissionId, TaskId, Version};
+use parsleyspool_core::id::{PeerAddress, SubmissionId, TaskId, Version};
 use parsleyspool_core::job::JobAnswer;
-use parsleyspool_wire::operator::{ConfigBody, ProcessBody, StatusBody};
 use parsleyspool_wire::peer::{
     AskMessage, CancelMessage, DirectiveMessage, PeerQuestion, PeerStateMessage, StartMessage,
     TaskReplyMessage,
@@ -46,18 +45,18 @@
 /// Actor of an entry.
 #[derive(Debug, xtra::Actor)]
 pub struct EntryActor {
-    machine: EntryMachine,
-    shared: Arc<EntryShared>,
+    pub(super) machine: EntryMachine,
+    pub(super) shared: Arc<EntryShared>,
     waiters: HashMap<u64, oneshot::Sender<CallerAnswer>>,
-    known_peers: BTreeMap<String, KnownPeer>,
+    pub(super) known_peers: BTreeMap<String, KnownPeer>,
 }
 
 /// Another entry, as it was last heard.
 #[derive(Debug)]
-struct KnownPeer {
-    address: String,
-    version: Version,
-    heard: Duration,
+pub(super) struct KnownPeer {
+    pub(super) address: String,
+    pub(super) version: Version,
+    pub(super) heard: Duration,
 }
 
 impl EntryActor {
@@ -334,157 +333,6 @@
     }
 }
 
-/// What the streams and peers need to know.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct StreamPosition {
-    pub config: Offset,
-    pub claims: Offset,
-    pub version: Version,
-    pub is_whole: bool,
-}
-
-/// Asks for the [`StreamPosition`].
-#[derive(Debug)]
-pub(crate) struct QueryPosition;
-
-impl Handler<QueryPosition> for EntryActor {
-    type Return = StreamPosition;
-
-    async fn handle(
-        &mut self,
-        _message: QueryPosition,
-        _ctx: &mut Context<Self>,
-    ) -> StreamPosition {
-        let ledger = self.machine.ledger();
-        StreamPosition {
-            config: ledger.next_offset(),
-            claims: self.machine.next_claim_offset(),
-            version: ledger.configuration().version,
-            is_whole: ledger.is_whole(),
-        }
-    }
-}
-
-/// State of a change, as the actor sees it.
-#[derive(Debug, Clone)]
-pub(crate) struct ChangeState {
-    pub outcome: Option<ApplyOutcome>,
-    pub is_held_by_majority: bool,
-}
-
-/// Asks what became of a change.
-#[derive(Debug)]
-pub(crate) struct QueryChange(pub ChangeId);
-
-impl Handler<QueryChange> for EntryActor {
-    type Return = ChangeState;
-
-    async fn handle(&mut self, message: QueryChange, _ctx: &mut Context<Self>) -> ChangeState {
-        let outcome = self.machine.ledger().outcome(message.0).cloned();
-        let is_held_by_majority = match &outcome {
-            Some(ApplyOutcome::Accepted { version }) => self.machine.is_accepted(*version),
-            _ => false,
-        };
-        ChangeState { outcome, is_held_by_majority }
-    }
-}
-
-/// Asks for the configuration.
-#[derive(Debug)]
-pub(crate) struct QueryConfig;
-
-impl Handler<QueryConfig> for EntryActor {
-    type Return = ConfigBody;
-
-    async fn handle(&mut self, _message: QueryConfig, _ctx: &mut Context<Self>) -> ConfigBody {
-        ConfigBody {
-            entry: self.shared.settings.name.clone(),
-            freshness: self.freshness_word().to_owned(),
-            configuration: self.machine.ledger().configuration().into(),
-        }
-    }
-}
-
-/// Asks for the status.
-#[derive(Debug)]
-pub(crate) struct QueryStatus;
-
-impl Handler<QueryStatus> for EntryActor {
-    type Return = StatusBody;
-
-    async fn handle(&mut self, _message: QueryStatus, _ctx: &mut Context<Self>) -> StatusBody {
-        let gauges = self.machine.gauges();
-        StatusBody {
-            name: self.shared.settings.name.clone(),
-            role: "entry".to_owned(),
-            life: self.shared.word.get().to_owned(),
-            version: self.machine.ledger().configuration().version,
-            freshness: self.freshness_word().to_owned(),
-            jobs: gauges.jobs,
-            queued: gauges.queued,
-            processes: self.processes(),
-        }
-    }
-}
-
-impl EntryActor {
-    fn freshness_word(&self) -> &'static str {
-        use parsleyspool_core::freshness::FreshnessVerdict as Verdict;
-        match self.machine.verdict() {
-            _ if !self.machine.ledger().is_whole() => "lapsed",
-            Verdict::Confirmed { .. } => "confirmed",
-            Verdict::Agreed { .. } => "agreed",
-            Verdict::Lapsed => "lapsed",
-        }
-    }
-
-    fn processes(&self) -> Vec<ProcessBody> {
-        let now = self.shared.edges.clock.now().elapsed;
-        let millis =
-            |at: Duration| u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX);
-        let own = ProcessBody {
-            name: self.shared.settings.name.clone(),
-            role: "entry".to_owned(),
-            address: self.shared.peer_address.to_string(),
-            domain: self.shared.settings.domain.clone(),
-            worker: String::new(),
-            state: self.shared.word.get().to_owned(),
-            version: self.machine.ledger().configuration().version,
-            heard_ms: 0,
-            load: 0,
-            slots: 0,
-        };
-        let peers = self.known_peers.iter().map(|(name, peer)| ProcessBody {
-            name: name.clone(),
-            role: "entry".to_owned(),
-            address: peer.address.clone(),
-            domain: String::new(),
-            worker: String::new(),
-            state: "known".to_owned(),
-            version: peer.version,
-            heard_ms: millis(peer.heard),
-            load: 0,
-            slots: 0,
-        });
-        let agents = self.machine.directory().iter().map(|(_, server)| {
-            use parsleyspool_core::chart::ChartSymbol;
-            ProcessBody {
-                name: server.name().to_string(),
-                role: "agent".to_owned(),
-                address: server.latest().address.to_string(),
-                domain: server.domain().to_string(),
-                worker: server.latest().worker.to_string(),
-                state: server.state().name().to_owned(),
-                version: server.latest().version,
-                heard_ms: millis(server.heard()),
-                load: server.load(),
-                slots: server.latest().slots,
-            }
-        });
-        std::iter::once(own).chain(peers).chain(agents).collect()
-    }
-}
-
 /// Time passed.
 #[derive(Debug)]
 pub(crate) struct TickEntry;
@@ -511,16 +359,3 @@
         self.decide(EntryEvent::Drain, &address);
     }
 }
-
-/// Asks how much of a drain is left.
-#[derive(Debug)]
-pub(crate) struct QueryDrained;
-
-impl Handler<QueryDrained> for EntryActor {
-    type Return = usize;
-
-    async fn handle(&mut self, _message: QueryDrained, _ctx: &mut Context<Self>) -> usize {
-        let jobs = self.machine.gauges().jobs;
-        if jobs == 0 && !self.machine.is_account_closed() { 1 } else { jobs }
-    }
-}
--- a/crates/daemon/src/entry/operators.rs
+++ b/crates/daemon/src/entry/operators.rs
@@ -1,12 +1,14 @@
 //! HTTP for operators.
 
 use super::EntryShared;
-use super::actor::{EntryActor, QueryChange, QueryConfig, QueryStatus};
-use crate::http::{HttpReply, fault, json, reply};
+use super::actor::EntryActor;
+use super::queries::{QueryChange, QueryConfig, QueryStatus};
+use crate::http::{HttpReply, MAX_OPERATOR_BYTES, fault, json};
+use crate::process_http::{self, ProcessIdentity};
 use bytes::Bytes;
 use parsleyspool_core::config::{ApplyOutcome, ChangeRecord, ConfigRecord};
 use parsleyspool_core::id::ChangeId;
-use parsleyspool_wire::operator::{ChangeBody, ChangeOutcomeBody, LogLevelBody};
+use parsleyspool_wire::operator::{ChangeBody, ChangeOutcomeBody};
 use parsleyspool_wire::record::{CONFIG_STREAM, encode_config};
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,8 +17,6 @@
 use warp::{Filter, Rejection};
 use xtra::Address;
 
-/// Largest body of an operator's request, in bytes.
-const MAX_OPERATOR_BYTES: u64 = 1 << 20;
 /// Time to wait for a change to come back from the log.
 const CHANGE_WAIT: Duration = Duration::from_secs(5);
 /// Time between two looks at a change.
@@ -27,8 +27,8 @@
 /// Routes for operators.
 pub(crate) fn routes(
     address: Address<EntryActor>,
-    shared: Arc<EntryShared>,
-) -> impl Filter<Extract = (HttpReply,), Error = Rejection> + Clone {
+    shared: &Arc<EntryShared>,
+) -> impl Filter<Extract = (HttpReply,), Error = Rejection> + Clone + use<> {
     let config_actor = address.clone();
     let config = warp::path!("v1" / "config").and(warp::get()).then(move || {
         let address = config_actor.clone();
@@ -45,42 +45,16 @@
         .and(warp::body::content_length_limit(MAX_OPERATOR_BYTES))
         .and(warp::body::bytes())
         .then(move |body| change(body, address.clone(), change_shared.clone()));
-    config.or(status).unify().or(changes).unify().or(process_routes(shared)).unify()
-}
-
-fn process_routes(
-    shared: Arc<EntryShared>,
-) -> impl Filter<Extract = (HttpReply,), Error = Rejection> + Clone {
-    let timeline_shared = shared.clone();
-    let timeline = warp::path!("v1" / "timeline").and(warp::get()).map(move || {
-        let settings = &timeline_shared.settings;
-        let mut body = timeline_shared.recorder.timeline(&settings.name, "entry");
-        body.domain.clone_from(&settings.domain);
-        json(StatusCode::OK, &body)
-    });
-    let metrics_shared = shared.clone();
-    let metrics = warp::path!("metrics").and(warp::get()).map(move || {
-        let text = metrics_shared.metrics.render();
-        reply(StatusCode::OK, "text/plain; version=0.0.4", text.into_bytes())
-    });
-    let level = warp::path!("v1" / "log-level")
-        .and(warp::put())
-        .and(warp::body::content_length_limit(MAX_OPERATOR_BYTES))
-        .and(warp::body::bytes())
-        .map(move |body: Bytes| set_level(&body, &shared.control));
-    timeline.or(metrics).unify().or(level).unify()
-}
-
-/// Sets the log levels of this process.
-pub(crate) fn set_level(body: &[u8], control: &crate::telemetry::logging::LogControl) -> HttpReply {
-    let body: LogLevelBody = match serde_json::from_slice(body) {
-        Ok(body) => body,
-        Err(error) => return fault(StatusCode::BAD_REQUEST, &error.to_string()),
+    let identity = ProcessIdentity {
+        name: shared.settings.name.clone(),
+        role: "entry",
+        domain: shared.settings.domain.clone(),
+        worker: String::new(),
+        recorder: shared.recorder.clone(),
+        metrics: shared.metrics.clone(),
+        control: shared.control.clone(),
     };
-    match control.set(&body.filter) {
-        Ok(()) => json(StatusCode::OK, &body),
-        Err(report) => fault(StatusCode::BAD_REQUEST, &report.to_string()),
-    }
+    config.or(status).unify().or(changes).unify().or(process_http::routes(identity)).unify()
 }
 
 fn answer<T: serde::Serialize>(result: Result<T, xtra::Error>) -> HttpReply {
--- a/crates/daemon/src/entry/peers.rs
+++ b/crates/daemon/src/entry/peers.rs
@@ -1,8 +1,9 @@
 //! HTTP for agents, other entries and operators, and the questions to other entries.
 
 use super::EntryShared;
-use super::actor::{AskState, EntryActor, Heartbeat, PeerHeard, QueryPosition};
+use super::actor::{AskState, EntryActor, Heartbeat, PeerHeard};
 use super::operators;
+use super::queries::QueryPosition;
 use crate::http::{HttpReply, fault, message, message_body, open, recover};
 use bytes::Bytes;
 use parsleyspool_wire::peer::{Envelope, HeartbeatMessage, PeerQuestion};
@@ -19,8 +20,8 @@
 /// Routes for agents, other entries and operators.
 pub(crate) fn routes(
     address: Address<EntryActor>,
-    shared: Arc<EntryShared>,
-) -> impl Filter<Extract = (impl Reply,), Error = Infallible> + Clone {
+    shared: &Arc<EntryShared>,
+) -> impl Filter<Extract = (impl Reply + use<>,), Error = Infallible> + Clone + use<> {
     let (agents, agents_shared) = (address.clone(), shared.clone());
     let heartbeat = warp::path!("peer" / "heartbeat")
         .and(warp::post())
--- a/crates/daemon/src/entry/streams.rs
+++ b/crates/daemon/src/entry/streams.rs
@@ -1,6 +1,7 @@
 //! The streams of the log that an entry follows, and its ticks.
 
-use super::actor::{Decide, EntryActor, QueryPosition, TickEntry};
+use super::actor::{Decide, EntryActor, TickEntry};
+use super::queries::QueryPosition;
 use super::{EntryShared, TICK};
 use crate::edge::LogPage;
 use bytes::Bytes;
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -18,6 +18,8 @@
 /// Reply with a whole body.
 pub type HttpReply = Response<Vec<u8>>;
 
+/// Largest body of an operator's request, in bytes.
+pub const MAX_OPERATOR_BYTES: u64 = 1 << 20;
 /// Media type of messages between the daemons.
 pub const MESSAGE_TYPE: &str = "application/msgpack";
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod http;
 pub mod life;
 pub mod log_client;
+pub mod process_http;
 pub mod recorder;
 pub mod settings;
 pub mod telemetry;
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -6,6 +6,9 @@
 
 use std::fmt::Debug;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
 /// Not yet taking work.
 #[derive(Debug)]
@@ -81,3 +84,31 @@
         DaemonLife { parts: self.parts, state: Stopped { unfinished }, word: self.word }
     }
 }
+
+/// Time for a listener to write its last replies.
+const LISTENER_STOP: Duration = Duration::from_secs(2);
+
+/// Listener that serves in a task of its own.
+#[derive(Debug)]
+pub struct ListenerTask {
+    stop: oneshot::Sender<()>,
+    server: JoinHandle<()>,
+}
+
+impl ListenerTask {
+    /// Listener served by `server` until `stop` is sent.
+    pub fn new(stop: oneshot::Sender<()>, server: JoinHandle<()>) -> Self {
+        Self { stop, server }
+    }
+
+    /// Takes no further connections and lets open ones finish.
+    pub async fn finish(self) {
+        let _ = self.stop.send(());
+        let _ = tokio::time::timeout(LISTENER_STOP, self.server).await;
+    }
+
+    /// Ends at once.
+    pub fn abort(self) {
+        self.server.abort();
+    }
+}
--- /dev/null
+++ b/crates/wire/src/peer/control.rs
@@ -0,0 +1,182 @@
+//! Heartbeats, and the talk between entries.
+
+use super::micros;
+use crate::settings::ConfigurationWire;
+use parsleyspool_core::directory::ServerReport;
+use parsleyspool_core::entry::AgentDirective;
+use parsleyspool_core::freshness::PeerReport;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Heartbeat of an agent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatMessage {
+    /// Name of the backend server.
+    pub name: String,
+    /// Incarnation of the agent.
+    pub incarnation: u64,
+    /// Number of the heartbeat.
+    pub sequence: u64,
+    /// Where the agent takes starts.
+    pub address: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Worker.
+    pub worker: String,
+    /// Services offered.
+    pub services: Vec<String>,
+    /// Slots.
+    pub slots: u32,
+    /// Slots that may run and queue there together.
+    pub room: u32,
+    /// Slots taken.
+    pub load: u32,
+    /// Of these, slots of the entry that is told.
+    pub own: u32,
+    /// Whether the server is leaving.
+    pub is_leaving: bool,
+    /// Clock of the agent in microseconds.
+    pub clock_us: u64,
+    /// Configuration version known.
+    pub version: u64,
+}
+
+impl From<HeartbeatMessage> for ServerReport {
+    fn from(wire: HeartbeatMessage) -> Self {
+        Self {
+            name: wire.name.into(),
+            incarnation: wire.incarnation,
+            sequence: wire.sequence,
+            address: wire.address.into(),
+            domain: wire.domain.into(),
+            worker: wire.worker.into(),
+            services: wire.services.into_iter().map(Into::into).collect(),
+            slots: wire.slots,
+            room: wire.room,
+            load: wire.load,
+            own: wire.own,
+            is_leaving: wire.is_leaving,
+            clock: Duration::from_micros(wire.clock_us),
+            version: wire.version,
+        }
+    }
+}
+
+impl From<&ServerReport> for HeartbeatMessage {
+    fn from(report: &ServerReport) -> Self {
+        Self {
+            name: report.name.to_string(),
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            address: report.address.to_string(),
+            domain: report.domain.to_string(),
+            worker: report.worker.to_string(),
+            services: report.services.iter().map(ToString::to_string).collect(),
+            slots: report.slots,
+            room: report.room,
+            load: report.load,
+            own: report.own,
+            is_leaving: report.is_leaving,
+            clock_us: micros(report.clock),
+            version: report.version,
+        }
+    }
+}
+
+/// Answer to a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DirectiveMessage {
+    /// Configuration version.
+    pub version: u64,
+    /// Whether the failure domain takes work.
+    pub is_in_service: bool,
+    /// Whether operators told the server to leave.
+    pub is_leaving: bool,
+    /// How long that is vouched for, in microseconds from the sending of the heartbeat.
+    pub valid_for_us: u64,
+    /// Time until the next heartbeat, in microseconds.
+    pub next_in_us: u64,
+    /// Peer addresses of the entries known here, by name.
+    pub entries: BTreeMap<String, String>,
+}
+
+impl DirectiveMessage {
+    /// Message of `directive` with the entries known.
+    pub fn new(directive: &AgentDirective, entries: BTreeMap<String, String>) -> Self {
+        Self {
+            version: directive.version,
+            is_in_service: directive.is_in_service,
+            is_leaving: directive.is_leaving,
+            valid_for_us: micros(directive.valid_for),
+            next_in_us: micros(directive.next_in),
+            entries,
+        }
+    }
+}
+
+impl From<&DirectiveMessage> for AgentDirective {
+    fn from(wire: &DirectiveMessage) -> Self {
+        Self {
+            version: wire.version,
+            is_in_service: wire.is_in_service,
+            is_leaving: wire.is_leaving,
+            valid_for: Duration::from_micros(wire.valid_for_us),
+            next_in: Duration::from_micros(wire.next_in_us),
+        }
+    }
+}
+
+/// Question of an entry to another one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerQuestion {
+    /// Name of the entry that asks.
+    pub entry: String,
+    /// Its peer address.
+    pub address: String,
+    /// Version that it holds; a higher one is sent along with the answer.
+    pub version: u64,
+    /// Whether it misses the state altogether.
+    pub wants_state: bool,
+}
+
+/// Answer of an entry to another one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerStateMessage {
+    /// Name of the entry that answers.
+    pub entry: String,
+    /// Its version.
+    pub version: u64,
+    /// Whether it has read the log to its end.
+    pub voter: bool,
+    /// Age of its confirmation by the log, in microseconds.
+    pub confirmed_age_us: Option<u64>,
+    /// Tasks that each team has open there.
+    pub team_load: BTreeMap<String, u32>,
+    /// Its configuration, where the asking entry is behind.
+    pub state: Option<ConfigurationWire>,
+}
+
+impl PeerStateMessage {
+    /// Message of `report` with the load of the teams.
+    pub fn new(report: &PeerReport, team_load: BTreeMap<String, u32>) -> Self {
+        Self {
+            entry: report.entry.to_string(),
+            version: report.version,
+            voter: report.voter,
+            confirmed_age_us: report.confirmed_age.map(micros),
+            team_load,
+            state: None,
+        }
+    }
+
+    /// Report in it.
+    pub fn report(&self) -> PeerReport {
+        PeerReport {
+            entry: self.entry.as_str().into(),
+            version: self.version,
+            voter: self.voter,
+            confirmed_age: self.confirmed_age_us.map(Duration::from_micros),
+        }
+    }
+}
