Admit by the open tasks of all entries, and pace heartbeats and appends by their number

Cause of the first: at twice the capacity, half of the work done was thrown away. Each entry estimated the wait from its own queue alone, a third of what waited, so jobs were admitted, partly run, and ended at their deadline 3 s later. The estimate now counts the open tasks of the team at all entries (told every half second), twice, since what is known is old and a missed deadline is work thrown away, and the jobs that may pass a large one.

Cause of the second: worked out at the target, heartbeats of 1,115 agents and appends of 42 entries were far over 8 KB/s and several hundred appends a second.

--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -144,6 +144,15 @@
         self.phase == BookPhase::Closed
     }
 
+    /// Whether a step waits and none is under way.
+    pub fn has_step(&self) -> bool {
+        let is_due = match self.phase {
+            BookPhase::Opening | BookPhase::Closing => true,
+            BookPhase::Open | BookPhase::Closed => !self.records.is_empty(),
+        };
+        is_due && self.in_flight.is_none()
+    }
+
     /// Step to append now; `None` while one is under way or nothing waits.
     pub fn take_step(&mut self) -> Option<AccountStep> {
         if self.in_flight.is_some() {
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -66,12 +66,22 @@
     names: HashMap<ServerName, usize>,
     by_service: HashMap<ServiceName, Vec<usize>>,
     limits: DirectoryLimits,
+    present: usize,
 }
 
+/// Heartbeats missed before a server is taken for silent.
+const MISSED_HEARTBEATS: u32 = 3;
+
 impl ServerDirectory {
     /// Directory without servers.
     pub fn new(limits: DirectoryLimits) -> Self {
-        Self { servers: Vec::new(), names: HashMap::new(), by_service: HashMap::new(), limits }
+        Self {
+            servers: Vec::new(),
+            names: HashMap::new(),
+            by_service: HashMap::new(),
+            limits,
+            present: 0,
+        }
     }
 
     /// Server at `index`.
@@ -111,6 +121,7 @@
         };
         if self.servers[index].state() == ServerState::Gone {
             self.rebuild(index, report, now);
+            self.present += 1;
             return (ReportOutcome::Announced, index);
         }
         let known = &self.servers[index];
@@ -149,6 +160,7 @@
         };
         self.names.insert(self.servers[index].name().clone(), index);
         self.offer(index);
+        self.present += 1;
         index
     }
 
@@ -197,21 +209,37 @@
         positions.into_iter().map(|position| offering[position]).collect()
     }
 
-    /// Marks overdue servers silent and forgets those silent for long; returns newly silent ones.
-    pub fn sweep(&mut self, now: Duration) -> Vec<usize> {
+    /// Number of servers known and not forgotten.
+    pub fn len(&self) -> usize {
+        self.present
+    }
+
+    /// Whether no server is known.
+    pub fn is_empty(&self) -> bool {
+        self.present == 0
+    }
+
+    /// Marks servers that missed their heartbeats silent and forgets those silent for long; returns
+    /// newly silent ones.
+    ///
+    /// A server is overdue after the limit, or after three heartbeats where `interval` is longer.
+    pub fn sweep(&mut self, interval: Duration, now: Duration) -> Vec<usize> {
+        let silent_after = self.limits.silent_after.max(interval * MISSED_HEARTBEATS);
+        let forget_after = self.limits.forget_after.max(silent_after * 2);
         let mut silent = Vec::new();
         let mut forgotten = Vec::new();
         for (index, server) in self.servers.iter_mut().enumerate() {
             let silence = now.saturating_sub(server.heard());
             let state = server.state();
-            if state == ServerState::Silent && silence >= self.limits.forget_after {
+            if state == ServerState::Silent && silence >= forget_after {
                 server.advance(ServerEvent::Forget);
                 forgotten.push(index);
-            } else if silence >= self.limits.silent_after && server.advance(ServerEvent::Silence) {
+            } else if silence >= silent_after && server.advance(ServerEvent::Silence) {
                 silent.push(index);
             }
             server.end_quarantine(now);
         }
+        self.present -= forgotten.len();
         for index in forgotten {
             self.withdraw(index);
         }
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -19,6 +19,7 @@
 mod exchange;
 mod limits;
 mod outcome;
+mod pace;
 
 pub use action::EntryAction;
 pub use event::{BrokenReach, EntryEvent, StreamRead};
@@ -44,6 +45,7 @@
 use crate::retry::RetryBudget;
 use crate::time::Moment;
 use crate::timeline::{EventFigure, EventKind, TimelineEvent};
+use pace::AppendPace;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -112,6 +114,8 @@
     ledger: ConfigLedger,
     schedule: SnapshotSchedule,
     claims: ClaimLedger,
+    claim_pace: AppendPace,
+    account_pace: AppendPace,
     claim_outbox: Vec<ClaimStep>,
     claims_in_flight: Vec<ClaimStep>,
     claims_read: Option<Duration>,
@@ -149,6 +153,8 @@
             ledger: ConfigLedger::new(),
             schedule,
             claims: ClaimLedger::new(limits.claim_window + limits.longest_deadline),
+            claim_pace: AppendPace::new(limits.claim_appends),
+            account_pace: AppendPace::new(limits.account_appends),
             claim_outbox: Vec::new(),
             claims_in_flight: Vec::new(),
             claims_read: None,
@@ -202,7 +208,7 @@
             EntryEvent::Tick => self.tick(now),
             EntryEvent::Drain => self.drain(),
         }
-        self.append_claims();
+        self.append_claims(now);
         std::mem::take(&mut self.actions)
     }
 
@@ -267,7 +273,7 @@
             jobs: self.jobs.len(),
             queued: self.queue.len(),
             held: self.held_tasks,
-            servers: self.directory.iter().count(),
+            servers: self.directory.len(),
             refusals_waiting: self.book.len(),
             refusals_dropped: self.book.dropped(),
             claims: self.claims.len(),
--- a/crates/core/src/entry/control.rs
+++ b/crates/core/src/entry/control.rs
@@ -202,8 +202,9 @@
     }
 
     /// Sends the claims that wait, one append at a time.
-    pub(super) fn append_claims(&mut self) {
-        if self.claims_in_flight.is_empty() && !self.claim_outbox.is_empty() {
+    pub(super) fn append_claims(&mut self, now: Moment) {
+        let is_wanted = self.claims_in_flight.is_empty() && !self.claim_outbox.is_empty();
+        if is_wanted && self.claim_pace.admit(self.entries(), now.elapsed) {
             self.claims_in_flight = std::mem::take(&mut self.claim_outbox);
             self.actions.push(EntryAction::AppendClaims(self.claims_in_flight.clone()));
         }
@@ -272,16 +273,23 @@
             is_in_service: configuration.is_in_service(domain),
             is_leaving: configuration.is_leaving(server),
             valid_for: until.map_or(Duration::ZERO, |until| until.saturating_sub(now.elapsed)),
-            next_in: self.limits.heartbeat,
+            next_in: self.heartbeat_interval(),
         }
     }
 
+    /// Heartbeat interval at which the servers known stay within the entry's rate.
+    fn heartbeat_interval(&self) -> Duration {
+        let servers = u32::try_from(self.directory.len()).unwrap_or(u32::MAX);
+        let paced = Duration::from_secs(1) * servers / self.limits.heartbeats_per_second.max(1);
+        self.limits.heartbeat.max(paced)
+    }
+
     pub(super) fn tick(&mut self, now: Moment) {
         self.judge_freshness(now);
         self.end_unclaimed(now);
         self.end_overdue(now);
         self.ask_overdue(now);
-        for index in self.directory.sweep(now.elapsed) {
+        for index in self.directory.sweep(self.heartbeat_interval(), now.elapsed) {
             let Some(name) = self.directory.get(index).map(|server| server.name().clone()) else {
                 continue;
             };
@@ -291,14 +299,17 @@
         if self.end_ramps(now) || !self.queue.is_empty() {
             self.pump_all(now);
         }
-        self.append_accounts();
+        self.append_accounts(now);
         self.republish(now);
     }
 
-    fn append_accounts(&mut self) {
+    fn append_accounts(&mut self, now: Moment) {
         if self.is_drained() {
             self.book.close();
         }
+        if !self.book.has_step() || !self.account_pace.admit(self.entries(), now.elapsed) {
+            return;
+        }
         if let Some(step) = self.book.take_step() {
             self.actions.push(EntryAction::AppendAccounts(step));
         }
--- a/crates/core/src/entry/estimate.rs
+++ b/crates/core/src/entry/estimate.rs
@@ -12,8 +12,8 @@
 struct ServiceCapacity {
     /// Slots, each weighed by the speed of its server.
     speed: f64,
-    /// Slots taken.
-    busy: u32,
+    /// Mean run time at pace 1, zero before the first answer.
+    mean: Duration,
 }
 
 impl EntryMachine {
@@ -39,6 +39,9 @@
     }
 
     /// Time until the last task of `request` would finish, by what is learnt.
+    ///
+    /// The open tasks of the team at all entries come first, and jobs that are smaller may pass for
+    /// as long as those take, at most by the surcharge of the job.
     fn expected_time(
         &self,
         request: &JobRequest,
@@ -54,27 +57,50 @@
             longest = longest.max(time);
         }
         let count = u32::try_from(request.tasks.len()).unwrap_or(u32::MAX).max(1);
-        let waiting = u32::try_from(self.queue.service_len(&request.service)).unwrap_or(u32::MAX);
-        let mean = work / count;
-        let ahead = mean.saturating_mul(waiting.saturating_add(capacity.busy));
-        let drain = (ahead + work).as_secs_f64() / capacity.speed - mean.as_secs_f64();
-        let finish = Duration::try_from_secs_f64(drain.max(0.0)).unwrap_or(Duration::MAX);
-        longest.max(finish)
+        let mean = if capacity.mean.is_zero() { work / count } else { capacity.mean };
+        let ahead = mean.saturating_mul(self.open_tasks(&request.team));
+        let ahead = divided(ahead, capacity.speed) * WAIT_MARGIN;
+        let passed = ahead.min(self.limits.task_surcharge.saturating_mul(count));
+        longest.max(ahead + divided(work, capacity.speed)) + passed
     }
 
-    /// Speed and load of a sample of the servers of `service`, scaled to all of them.
+    /// Tasks of `team` accepted and not yet answered, here and at the other entries.
+    fn open_tasks(&self, team: &str) -> u32 {
+        let here = self.team_open.get(team).copied().unwrap_or(0);
+        let elsewhere = self.peer_load.values().filter_map(|teams| teams.get(team));
+        elsewhere.fold(here, |sum, open| sum.saturating_add(*open))
+    }
+
+    /// Speed of a sample of the servers of `service`, scaled to all of them, and the mean run time
+    /// there at pace 1.
     fn capacity(&self, service: &str) -> ServiceCapacity {
         let offering = self.directory.offering(service);
         let step = offering.len().div_ceil(self.limits.directory.sample.max(1)).max(1);
-        let mut capacity = ServiceCapacity { speed: 0.0, busy: 0 };
+        let mut speed = 0.0;
+        let (mut times, mut learnt) = (Duration::ZERO, 0);
         for &index in offering.iter().step_by(step) {
             if !self.directory.takes_work(index, self.ledger.configuration()) {
                 continue;
             }
             let Some(server) = self.directory.get(index) else { continue };
-            capacity.speed += f64::from(server.latest().slots) / server.pace() * step as f64;
-            capacity.busy += server.load() * u32::try_from(step).unwrap_or(1);
+            speed += f64::from(server.latest().slots) / server.pace() * step as f64;
+            let time = server.mean_run_time();
+            if !time.is_zero() {
+                times += time.div_f64(server.pace());
+                learnt += 1;
+            }
         }
-        capacity
+        ServiceCapacity { speed, mean: if learnt > 0 { times / learnt } else { Duration::ZERO } }
     }
 }
+
+/// Time for `work` at `speed`; longer than any deadline where it cannot be told.
+fn divided(work: Duration, speed: f64) -> Duration {
+    Duration::try_from_secs_f64(work.as_secs_f64() / speed).unwrap_or(LONG)
+}
+
+/// Factor on the time to wait: what is known of the other entries is half a second old, and a job
+/// that starts and misses its deadline is work thrown away.
+const WAIT_MARGIN: u32 = 2;
+/// Time longer than any deadline.
+const LONG: Duration = Duration::from_secs(1 << 20);
--- a/crates/core/src/entry/limits.rs
+++ b/crates/core/src/entry/limits.rs
@@ -45,8 +45,14 @@
     pub retention: Duration,
     /// Records after which the configuration is republished.
     pub snapshot_records: u64,
-    /// Heartbeat interval given to agents.
+    /// Shortest heartbeat interval given to agents.
     pub heartbeat: Duration,
+    /// Heartbeats that this entry takes a second; agents are slowed down as they grow.
+    pub heartbeats_per_second: u32,
+    /// Appends of claims that all entries together make a second.
+    pub claim_appends: u32,
+    /// Appends of accounts that all entries together make a second.
+    pub account_appends: u32,
     /// Placement policy.
     pub placement: PlacementKind,
     /// Limits of the server directory.
@@ -76,6 +82,9 @@
             retention: Duration::from_secs(3600),
             snapshot_records: 500,
             heartbeat: Duration::from_secs(1),
+            heartbeats_per_second: 10,
+            claim_appends: 200,
+            account_appends: 50,
             placement: PlacementKind::EarliestFinish,
             directory: DirectoryLimits::default(),
         }
--- a/crates/core/tests/parts.rs
+++ b/crates/core/tests/parts.rs
@@ -8,9 +8,12 @@
     ApplyOutcome, ChangeRecord, ConfigChange, ConfigLedger, ConfigRecord, DomainOrder,
     SnapshotSchedule,
 };
+use parsleyspool_core::directory::ServerReport;
+use parsleyspool_core::entry::{EntryEvent, EntryIdentity, EntryLimits, EntryMachine};
 use parsleyspool_core::error::{ErrorKind, JobError};
 use parsleyspool_core::freshness::{FreshnessLease, FreshnessVerdict, PeerReport};
 use parsleyspool_core::id::TaskId;
+use parsleyspool_core::lifecycle::ServerState;
 use parsleyspool_core::member::{MemberLedger, MemberRecord, MemberStep};
 use parsleyspool_core::queue::TeamQueue;
 use parsleyspool_core::retry::RetryBudget;
@@ -215,6 +218,49 @@
     assert_eq!(heavy, 15);
 }
 
+#[test]
+fn agents_are_slowed_down_as_they_grow_and_are_not_silent_for_it() {
+    let identity = EntryIdentity { name: "e".into(), incarnation: 1, domain: "d".into(), rank: 0 };
+    let mut machine = EntryMachine::new(identity, EntryLimits::default(), 1);
+    let at = |seconds_passed| Moment::new(seconds(seconds_passed), seconds(1_000));
+    for server in 0..100 {
+        machine.handle(EntryEvent::Report(report_of(server)), at(10));
+    }
+
+    let directive = machine.directive("s-0", "d", at(10));
+    machine.handle(EntryEvent::Tick, at(39));
+    let silent_early = count_silent(&machine);
+    machine.handle(EntryEvent::Tick, at(41));
+
+    assert_eq!(directive.next_in, seconds(10), "100 servers, 10 heartbeats a second");
+    assert_eq!(silent_early, 0);
+    assert_eq!(count_silent(&machine), 100);
+}
+
+fn count_silent(machine: &EntryMachine) -> usize {
+    let servers = machine.directory().iter();
+    servers.filter(|(_, server)| server.state() == ServerState::Silent).count()
+}
+
+fn report_of(server: u32) -> ServerReport {
+    ServerReport {
+        name: format!("s-{server}").into(),
+        incarnation: 1,
+        sequence: 1,
+        address: "a".into(),
+        domain: "d".into(),
+        worker: "w".into(),
+        services: vec!["s".into()],
+        slots: 1,
+        room: 1,
+        load: 0,
+        own: 0,
+        is_leaving: false,
+        clock: Duration::ZERO,
+        version: 0,
+    }
+}
+
 #[test]
 fn retries_stay_a_fraction_of_first_attempts() {
     let mut budget = RetryBudget::new(0.1, 5);
--- a/crates/core/tests/session/desk.rs
+++ b/crates/core/tests/session/desk.rs
@@ -249,7 +249,9 @@
         self.tell("read config", EntryEvent::ConfigRead(read));
     }
 
+    /// Ten milliseconds later the log has answered the appends, and its claims are read.
     pub fn read_claims(&mut self) {
+        self.now += Duration::from_millis(10);
         for is_confirmed in std::mem::take(&mut self.appends) {
             let title = format!("claims appended confirmed={is_confirmed}");
             self.tell(&title, EntryEvent::ClaimsAppended { is_confirmed });
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -130,9 +130,15 @@
     /// Time over which a returning failure domain is filled.
     #[serde(with = "humantime_serde")]
     pub ramp: Duration,
-    /// Heartbeat interval of the agents.
+    /// Shortest heartbeat interval of the agents.
     #[serde(with = "humantime_serde")]
     pub heartbeat: Duration,
+    /// Heartbeats that the entry takes a second.
+    pub heartbeats_per_second: u32,
+    /// Appends of claims that all entries together make a second.
+    pub claim_appends: u32,
+    /// Appends of accounts that all entries together make a second.
+    pub account_appends: u32,
     /// Silence after which a backend server takes no new work.
     #[serde(with = "humantime_serde")]
     pub silent_after: Duration,
@@ -169,6 +175,9 @@
             refusals_held: limits.refusals_held,
             ramp: limits.ramp,
             heartbeat: limits.heartbeat,
+            heartbeats_per_second: limits.heartbeats_per_second,
+            claim_appends: limits.claim_appends,
+            account_appends: limits.account_appends,
             silent_after: limits.directory.silent_after,
             forget_after: limits.directory.forget_after,
             sample: limits.directory.sample,
@@ -357,6 +366,9 @@
             retention: self.log.retention,
             snapshot_records: limits.snapshot_records,
             heartbeat: limits.heartbeat,
+            heartbeats_per_second: limits.heartbeats_per_second,
+            claim_appends: limits.claim_appends,
+            account_appends: limits.account_appends,
             placement: PlacementKind::from_name(&limits.placement).unwrap_or(defaults.placement),
             directory: DirectoryLimits {
                 silent_after: limits.silent_after,
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -119,6 +119,13 @@
         "entry.limits.tasks_held",
         "must be at least entry.limits.tasks_per_job",
     );
+    list.require(
+        limits.heartbeats_per_second >= 1,
+        "entry.limits.heartbeats_per_second",
+        "must be at least 1",
+    );
+    list.require(limits.claim_appends >= 1, "entry.limits.claim_appends", "must be at least 1");
+    list.require(limits.account_appends >= 1, "entry.limits.account_appends", "must be at least 1");
     list.require(limits.attempts >= 1, "entry.limits.attempts", "must be at least 1");
     list.require(limits.sample >= 1, "entry.limits.sample", "must be at least 1");
     list.require(
--- a/crates/daemon/src/settings/reference.rs
+++ b/crates/daemon/src/settings/reference.rs
@@ -19,7 +19,7 @@
 }
 
 /// Every key of both kinds of file.
-pub const SETTING_TABLE: [SettingRow; 54] = [
+pub const SETTING_TABLE: [SettingRow; 57] = [
     row("entry.name", "text", "name of the entry, kept over replacements"),
     row("entry.domain", "text", "failure domain of the entry"),
     row("entry.rank", "number", "position among the entries, to keep them out of step"),
@@ -45,7 +45,10 @@
     row("entry.limits.answer_kept", "duration", "how long the answer of a claimed job is kept"),
     row("entry.limits.refusals_held", "records", "refusals held for the log at most"),
     row("entry.limits.ramp", "duration", "time over which a returning failure domain is filled"),
-    row("entry.limits.heartbeat", "duration", "heartbeat interval of the agents"),
+    row("entry.limits.heartbeat", "duration", "shortest heartbeat interval of the agents"),
+    row("entry.limits.heartbeats_per_second", "heartbeats", "taken by the entry a second"),
+    row("entry.limits.claim_appends", "appends", "of claims by all entries a second"),
+    row("entry.limits.account_appends", "appends", "of accounts by all entries a second"),
     row("entry.limits.silent_after", "duration", "silence after which a server takes no new work"),
     row("entry.limits.forget_after", "duration", "silence after which a server is forgotten"),
     row("entry.limits.sample", "servers", "backend servers looked at for one placement"),
