Stop running tasks that nobody waits for, through the worker's edge

A cancelled task that runs is stopped through WorkerHost where its request is idempotent; a redemption is never stopped halfway.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -345,10 +345,13 @@
     }
 
     fn cancel(&mut self, task: TaskId, now: Moment) {
-        let is_queued = |held: &HeldStart| held.started.is_none();
-        if self.held.get(&task).is_some_and(is_queued) {
+        let Some(held) = self.held.get(&task) else { return };
+        if held.started.is_none() {
             self.give_back(task, NotStartedReason::Cancelled, now);
             self.run_next(now);
+        } else if held.order.may_stop {
+            self.note(EventKind::AgentStopped, task, &[]);
+            self.actions.push(AgentAction::Stop { task });
         }
     }
 
--- a/crates/core/src/agent/event.rs
+++ b/crates/core/src/agent/event.rs
@@ -93,6 +93,11 @@
 pub enum AgentAction {
     /// Send a task to the backend server.
     Run(StartOrder),
+    /// Ask the worker to stop a running task that nobody waits for.
+    Stop {
+        /// Task.
+        task: TaskId,
+    },
     /// Reply to the sender of the present event, and to nobody else.
     Respond {
         /// What to say.
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -182,7 +182,7 @@
         let Some(server) = self.directory.get_mut(candidate.index) else { return };
         let incarnation = server.incarnation();
         let address = server.latest().address.clone();
-        let (due, surcharge) = (job.due, job.surcharge);
+        let (due, surcharge, may_stop) = (job.due, job.surcharge, job.claim.is_none());
         let service = job.service.clone();
         let task = &mut job.tasks[id.index as usize];
         if !task.advance(TaskEvent::Send) {
@@ -204,6 +204,7 @@
             service,
             request: task.request.request.clone(),
             slots: task.slots,
+            may_stop,
             surcharge,
             payload: task.request.payload.clone(),
             version,
--- a/crates/core/src/entry/exchange.rs
+++ b/crates/core/src/entry/exchange.rs
@@ -19,6 +19,8 @@
     pub request: RequestName,
     /// Slots that it takes.
     pub slots: u32,
+    /// Whether the task may be stopped halfway once nobody waits for it.
+    pub may_stop: bool,
     /// Time by which the size of its job puts it back in the agent's queue.
     pub surcharge: Duration,
     /// Body for the backend server.
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -85,6 +85,8 @@
     AgentQueued = "agent_queued",
     /// An agent started a task.
     AgentStarted = "agent_started",
+    /// An agent asked the worker to stop a running task.
+    AgentStopped = "agent_stopped",
     /// A backend server finished a task.
     AgentFinished = "agent_finished",
     /// An agent refused a start; it did not start.
--- a/crates/core/tests/explore/world/processes.rs
+++ b/crates/core/tests/explore/world/processes.rs
@@ -113,6 +113,12 @@
         action: AgentAction,
     ) {
         match action {
+            AgentAction::Stop { task } => {
+                let running = &self.agents[index].running;
+                if let Some(run) = running.iter().position(|order| order.task == task) {
+                    self.end_run(index, run, false);
+                }
+            }
             AgentAction::Run(order) => self.agents[index].running.push(order),
             AgentAction::Respond { reply, .. } => {
                 let Some(start) = asked else { return };
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -10,7 +10,7 @@
 pub use actor::AgentActor;
 
 use crate::backend::HttpBackend;
-use crate::edge::{BackendServer, ClockSource, EntryPeer};
+use crate::edge::{BackendServer, ClockSource, EntryPeer, WorkerHost};
 use crate::error::DaemonError;
 use crate::exchange::HttpExchange;
 use crate::http::bind;
@@ -19,6 +19,7 @@
 use crate::settings::AgentSettings;
 use crate::telemetry::logging::LogControl;
 use crate::telemetry::metrics::DaemonMetrics;
+use crate::worker::HttpWorker;
 use actor::{DrainAgent, QueryHeld};
 use error_stack::{Report, ResultExt};
 use parsleyspool_core::agent::AgentMachine;
@@ -41,6 +42,8 @@
     pub clock: Arc<dyn ClockSource>,
     /// Backend server.
     pub backend: Arc<dyn BackendServer>,
+    /// Worker.
+    pub worker: Arc<dyn WorkerHost>,
     /// Entries.
     pub entries: Arc<dyn EntryPeer>,
 }
@@ -116,7 +119,8 @@
     let backend =
         HttpBackend::new(&backend.url, backend.connections, backend.timeout, backend.answer_bytes)?;
     let exchange = Arc::new(HttpExchange::new(recorder.clone(), metrics.clone())?);
-    let edges = AgentEdges { clock, backend: Arc::new(backend), entries: exchange };
+    let worker = Arc::new(HttpWorker::new(settings.backend.worker_url.as_deref())?);
+    let edges = AgentEdges { clock, backend: Arc::new(backend), worker, entries: exchange };
     let telemetry = AgentTelemetry { recorder, metrics, control };
     start_with(listener, settings, edges, incarnation, telemetry)
 }
--- a/crates/daemon/src/agent/actor.rs
+++ b/crates/daemon/src/agent/actor.rs
@@ -43,6 +43,10 @@
         for action in self.machine.handle(event, now) {
             match action {
                 AgentAction::Run(order) => self.run(order, address),
+                AgentAction::Stop { task } => {
+                    let shared = self.shared.clone();
+                    tokio::spawn(async move { shared.edges.worker.stop(task).await });
+                }
                 AgentAction::Respond { reply, load } => {
                     if let Some(sender) = sender.take() {
                         let _ = sender.send(TaskReplyMessage::new(reply, load));
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -8,7 +8,7 @@
 use futures_util::future::BoxFuture;
 use parsleyspool_core::agent::RunResult;
 use parsleyspool_core::entry::{BrokenReach, StartOrder};
-use parsleyspool_core::id::{Offset, PeerAddress};
+use parsleyspool_core::id::{Offset, PeerAddress, TaskId};
 use parsleyspool_core::time::Moment;
 use parsleyspool_wire::peer::{
     AskMessage, CancelMessage, DirectiveMessage, HeartbeatMessage, PeerQuestion, PeerStateMessage,
@@ -64,6 +64,12 @@
     fn run(&self, order: StartOrder) -> BoxFuture<'_, RunResult>;
 }
 
+/// The platform's worker that a backend server runs on.
+pub trait WorkerHost: Debug + Send + Sync {
+    /// Asks the worker to stop a running task; the run then ends as failed. Nothing is promised.
+    fn stop(&self, task: TaskId) -> BoxFuture<'_, ()>;
+}
+
 /// The agents, as an entry reaches them.
 pub trait AgentPeer: Debug + Send + Sync {
     /// Sends a start and waits for its outcome, at most `within`.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod recorder;
 pub mod settings;
 pub mod telemetry;
+pub mod worker;
--- a/crates/daemon/src/recorder.rs
+++ b/crates/daemon/src/recorder.rs
@@ -82,6 +82,7 @@
             | K::TaskAnswered
             | K::AgentQueued
             | K::AgentStarted
+            | K::AgentStopped
             | K::AgentFinished
             | K::AgentRefused
     )
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -224,6 +224,9 @@
 pub struct BackendSettings {
     /// URL under which it takes tasks.
     pub url: String,
+    /// URL of the worker, where it can stop tasks.
+    #[serde(default)]
+    pub worker_url: Option<String>,
     /// Services that it offers.
     pub services: Vec<String>,
     /// Tasks that it runs at once.
--- a/crates/daemon/src/settings/reference.rs
+++ b/crates/daemon/src/settings/reference.rs
@@ -19,7 +19,7 @@
 }
 
 /// Every key of both kinds of file.
-pub const SETTING_TABLE: [SettingRow; 57] = [
+pub const SETTING_TABLE: [SettingRow; 58] = [
     row("entry.name", "text", "name of the entry, kept over replacements"),
     row("entry.domain", "text", "failure domain of the entry"),
     row("entry.rank", "number", "position among the entries, to keep them out of step"),
@@ -65,6 +65,7 @@
     row("agent.advertise", "ip:port", "address under which entries reach it, where it differs"),
     row("agent.entries", "map of ip:port", "peer listeners of the entries, by name"),
     row("agent.backend.url", "URL", "where the backend server takes tasks"),
+    row("agent.backend.worker_url", "URL", "the worker, where it can stop running tasks"),
     row("agent.backend.services", "list of text", "services that it offers"),
     row("agent.backend.slots", "slots", "tasks that it runs at once"),
     row("agent.backend.connections", "connections", "connections to it at most"),
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -1,6 +1,8 @@
 //! Settings files: what is refused and how it is named.
 
 use parsleyspool_daemon::settings::{SETTING_TABLE, parse};
+use proptest::prelude::{any, proptest};
+use proptest::test_runner::{Config, RngSeed};
 use std::collections::BTreeSet;
 
 const ENTRY: &str = "\
@@ -118,3 +120,23 @@
 
     assert_eq!(table, found);
 }
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn damaged_files_are_taken_or_refused(is_entry: bool, at in any::<usize>(), to in any::<char>()) {
+        let mut text: Vec<char> = if is_entry { ENTRY } else { AGENT }.chars().collect();
+        let at = at % text.len();
+        text[at] = to;
+        let damaged: String = text.iter().collect();
+        let cut: String = text[..at].iter().collect();
+        for text in [damaged, cut] {
+            assert!(parse(&text).is_ok() || !faults(&text).is_empty());
+        }
+    }
+}
--- a/crates/questionnaire/src/answers.rs
+++ b/crates/questionnaire/src/answers.rs
@@ -115,6 +115,9 @@
     pub agent: SocketAddr,
     /// URL under which it takes tasks.
     pub url: String,
+    /// URL of the worker, where it can stop running tasks.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub worker_url: Option<String>,
     /// Tasks that it runs at once.
     pub slots: u32,
     /// Connections that it takes.
--- a/crates/questionnaire/src/generate.rs
+++ b/crates/questionnaire/src/generate.rs
@@ -131,6 +131,7 @@
         entries: entries.map(|entry| (entry.name.clone(), entry.peers)).collect(),
         backend: BackendSettings {
             url: server.url.clone(),
+            worker_url: server.worker_url.clone(),
             services: server.services.clone(),
             slots: server.slots,
             connections: server.connections,
--- a/crates/questionnaire/src/question.rs
+++ b/crates/questionnaire/src/question.rs
@@ -224,6 +224,7 @@
             worker: (*worker).to_owned(),
             agent: address(agent)?,
             url: (*url).to_owned(),
+            worker_url: None,
             slots: number(slots)?,
             connections: number(connections)? as usize,
             services: services.iter().map(|service| (*service).to_owned()).collect(),
--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -1,5 +1,7 @@
 //! Example backend server.
 //!
+//! It stands for the platform's worker too, in that it stops a running task when asked.
+//!
 //! It runs a task by waiting. The payload may state the time, as in `150ms NAME`; otherwise the
 //! time comes from [`BackendModel`]. Every start is counted, so that a test can tell whether a task
 //! started twice.
@@ -11,6 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use warp::Filter;
 use warp::http::StatusCode;
 
@@ -50,6 +53,9 @@
 struct BackendState {
     model: BackendModel,
     starts: BTreeMap<SeenStart, u32>,
+    /// Tasks that run now, by submission and index, with the way to stop them.
+    running: BTreeMap<(String, u32), Arc<Notify>>,
+    stopped: u32,
 }
 
 /// Backend server with its counts.
@@ -61,7 +67,7 @@
 impl ExampleBackend {
     /// Server that behaves as `model`.
     pub fn new(model: BackendModel) -> Self {
-        Self { state: Mutex::new(BackendState { model, starts: BTreeMap::new() }) }
+        Self { state: Mutex::new(BackendState { model, ..BackendState::default() }) }
     }
 
     fn state(&self) -> MutexGuard<'_, BackendState> {
@@ -78,16 +84,36 @@
         self.state().starts.iter().map(|(start, count)| (start.clone(), *count)).collect()
     }
 
+    /// Tasks stopped halfway.
+    pub fn stopped(&self) -> u32 {
+        self.state().stopped
+    }
+
+    /// Stops a running task, as the platform's worker would.
+    pub fn stop(&self, submission: &str, task: u32) {
+        let mut state = self.state();
+        if let Some(stop) = state.running.remove(&(submission.to_owned(), task)) {
+            stop.notify_one();
+            state.stopped += 1;
+        }
+    }
+
     async fn run(&self, start: SeenStart, payload: &str) -> Option<String> {
         let model = self.state().model.clone();
+        let key = (start.submission.clone(), start.task);
+        let stop = Arc::new(Notify::new());
         *self.state().starts.entry(start).or_insert(0) += 1;
+        self.state().running.insert(key.clone(), stop.clone());
         if model.fails_all {
+            self.state().running.remove(&key);
             return None;
         }
         let stated = payload.split_whitespace().next();
         let stated = stated.and_then(|word| humantime::parse_duration(word).ok());
-        tokio::time::sleep(stated.unwrap_or(model.run_time).mul_f64(model.pace)).await;
-        Some(format!("done {payload}"))
+        let time = stated.unwrap_or(model.run_time).mul_f64(model.pace);
+        let is_done = tokio::time::timeout(time, stop.notified()).await.is_err();
+        self.state().running.remove(&key);
+        is_done.then(|| format!("done {payload}"))
     }
 }
 
@@ -112,13 +138,22 @@
         let starts = counted.starts();
         json(StatusCode::OK, &starts)
     });
+    let stopping = backend.clone();
+    let stop = warp::path!("stop")
+        .and(warp::post())
+        .and(warp::header("x-submission"))
+        .and(warp::header("x-task"))
+        .map(move |submission: String, task| {
+            stopping.stop(&submission, task);
+            json(StatusCode::OK, &task)
+        });
     let model = warp::path!("model").and(warp::put()).and(warp::body::json()).map(
         move |model: BackendModel| {
             backend.set_model(model.clone());
             json(StatusCode::OK, &model)
         },
     );
-    let routes = starts.or(model).unify().or(run).unify().recover(recover);
+    let routes = starts.or(stop).unify().or(model).unify().or(run).unify().recover(recover);
     warp::serve(routes).incoming(listener).run().await;
 }
 
--- a/crates/standins/src/cost.rs
+++ b/crates/standins/src/cost.rs
@@ -231,6 +231,7 @@
         service: "service".into(),
         request: "request".into(),
         slots: 1,
+        may_stop: true,
         surcharge: Duration::ZERO,
         payload: Bytes::from_static(b"payload"),
         version: 1,
--- a/crates/standins/src/embedded.rs
+++ b/crates/standins/src/embedded.rs
@@ -212,6 +212,7 @@
             entries: entries.collect(),
             backend: BackendSettings {
                 url: format!("http://{backend}"),
+                worker_url: Some(format!("http://{backend}")),
                 services: shape.services.clone(),
                 slots: shape.slots,
                 connections: 60,
--- a/crates/standins/tests/whole_path.rs
+++ b/crates/standins/tests/whole_path.rs
@@ -193,3 +193,31 @@
     assert!(starts.into_iter().all(|(_, count)| count == 1));
     system.shut_down();
 }
+
+#[tokio::test]
+async fn a_wave_of_cancellations_frees_what_the_jobs_held() {
+    let system = serving_system().await;
+    let long = |number: usize| {
+        let mut job = job(&format!("long-{number}"), "balance", 4);
+        job.tasks.iter_mut().for_each(|task| task.payload = "9s t".to_owned());
+        job
+    };
+    let calls = (0..30).map(|number| {
+        let request = system.client().post(system.caller_url(0)).json(&long(number));
+        tokio::spawn(request.send())
+    });
+    let calls: Vec<_> = calls.collect();
+    while system.status(0).await.expect("the entry answers").jobs < 30 {
+        tokio::task::yield_now().await;
+    }
+
+    calls.iter().for_each(tokio::task::JoinHandle::abort);
+    while system.status(0).await.expect("the entry answers").jobs > 0 {
+        tokio::task::yield_now().await;
+    }
+    let (status, _) = submit(&system, &job("after", "balance", 24)).await;
+
+    assert_eq!(status, 200, "the slots are free again before the long tasks would end");
+    assert_eq!(system.backends.iter().map(|backend| backend.stopped()).sum::<u32>(), 24);
+    system.shut_down();
+}
--- a/crates/wire/src/peer/task.rs
+++ b/crates/wire/src/peer/task.rs
@@ -40,6 +40,8 @@
     pub request: String,
     /// Slots.
     pub slots: u32,
+    /// Whether it may be stopped halfway.
+    pub may_stop: bool,
     /// Time by which it goes back in the agent's queue, in microseconds.
     pub surcharge_us: u64,
     /// Body for the backend server.
@@ -63,6 +65,7 @@
             service: order.service.to_string(),
             request: order.request.to_string(),
             slots: order.slots,
+            may_stop: order.may_stop,
             surcharge_us: micros(order.surcharge),
             payload: order.payload,
             version: order.version,
@@ -81,6 +84,7 @@
             service: wire.service.into(),
             request: wire.request.into(),
             slots: wire.slots.max(1),
+            may_stop: wire.may_stop,
             surcharge: Duration::from_micros(wire.surcharge_us),
             payload: wire.payload,
             version: wire.version,
