--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -78,6 +78,13 @@
     since: Duration,
 }
 
+/// Open tasks at another entry.
+#[derive(Debug)]
+struct PeerLoad {
+    asked: Duration,
+    teams: BTreeMap<TeamName, u32>,
+}
+
 /// Answer of a claimed job, kept for its resubmission.
 #[derive(Debug)]
 struct KeptAnswer {
@@ -104,6 +111,8 @@
     pub refusals_dropped: u64,
     /// Claims remembered.
     pub claims: usize,
+    /// Other entries heard from within the lease.
+    pub peers: usize,
 }
 
 /// Decisions of one entry.
@@ -135,7 +144,7 @@
     asks: BTreeSet<(Duration, TaskId)>,
     kept: HashMap<ClaimKey, KeptAnswer>,
     team_open: HashMap<TeamName, u32>,
-    peer_load: BTreeMap<EntryName, BTreeMap<TeamName, u32>>,
+    peer_load: BTreeMap<EntryName, PeerLoad>,
     domains: BTreeMap<DomainName, DomainLife>,
     held_tasks: usize,
     next_submission: u64,
@@ -277,6 +286,7 @@
             refusals_waiting: self.book.len(),
             refusals_dropped: self.book.dropped(),
             claims: self.claims.len(),
+            peers: self.peer_load.len(),
         }
     }
 
--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -209,7 +209,7 @@
         let here = self.team_open.get(&request.team).copied().unwrap_or(0);
         let asked = here.saturating_add(u32::try_from(request.tasks.len()).unwrap_or(u32::MAX));
         let elsewhere: u32 =
-            self.peer_load.values().filter_map(|teams| teams.get(&request.team)).sum();
+            self.peer_load.values().filter_map(|load| load.teams.get(&request.team)).sum();
         let share = quota.tasks_in_flight / self.entries();
         let allowed = share.max(quota.tasks_in_flight.saturating_sub(elsewhere));
         if asked <= allowed {
--- a/crates/core/src/entry/control.rs
+++ b/crates/core/src/entry/control.rs
@@ -1,6 +1,8 @@
 //! Control: configuration, claims, peers, heartbeats and the passing of time.
 
-use super::{AgentDirective, DomainLife, EntryAction, EntryMachine, EntryPhase, StreamRead};
+use super::{
+    AgentDirective, DomainLife, EntryAction, EntryMachine, EntryPhase, PeerLoad, StreamRead,
+};
 use crate::claim::{ClaimStep, ClaimVerdict};
 use crate::config::{ApplyOutcome, ConfigRecord, ConfigSnapshot, ConfigSubject, DomainOrder};
 use crate::directory::{ReportOutcome, ServerReport};
@@ -240,7 +242,8 @@
         asked: Duration,
         now: Moment,
     ) {
-        self.peer_load.insert(report.entry.clone(), team_load);
+        let load = PeerLoad { asked, teams: team_load };
+        self.peer_load.insert(report.entry.clone(), load);
         self.freshness.hear(report, asked);
         self.judge_freshness(now);
     }
@@ -295,6 +298,8 @@
             };
             self.note(TimelineEvent::new(EventKind::ServerSilent).subject(&name));
         }
+        let lease = self.limits.lease;
+        self.peer_load.retain(|_, load| load.asked + lease > now.elapsed);
         self.kept.retain(|_, kept| kept.until > now.elapsed);
         if self.end_ramps(now) || !self.queue.is_empty() {
             self.pump_all(now);
--- a/crates/core/src/entry/estimate.rs
+++ b/crates/core/src/entry/estimate.rs
@@ -67,7 +67,7 @@
     /// Tasks of `team` accepted and not yet answered, here and at the other entries.
     fn open_tasks(&self, team: &str) -> u32 {
         let here = self.team_open.get(team).copied().unwrap_or(0);
-        let elsewhere = self.peer_load.values().filter_map(|teams| teams.get(team));
+        let elsewhere = self.peer_load.values().filter_map(|load| load.teams.get(team));
         elsewhere.fold(here, |sum, open| sum.saturating_add(*open))
     }
 
--- a/crates/core/tests/parts.rs
+++ b/crates/core/tests/parts.rs
@@ -261,6 +261,23 @@
     }
 }
 
+#[test]
+fn the_load_of_an_entry_that_is_gone_is_forgotten() {
+    let identity = EntryIdentity { name: "e".into(), incarnation: 1, domain: "d".into(), rank: 0 };
+    let mut machine = EntryMachine::new(identity, EntryLimits::default(), 1);
+    let at = |seconds_passed| Moment::new(seconds(seconds_passed), seconds(1_000));
+    let team_load = [("t".into(), 500)].into();
+    let peer = EntryEvent::Peer { report: report("f", 0, true), team_load, asked: seconds(10) };
+    machine.handle(peer, at(10));
+
+    machine.handle(EntryEvent::Tick, at(12));
+    let known = machine.gauges().peers;
+    machine.handle(EntryEvent::Tick, at(13));
+
+    assert_eq!(known, 1);
+    assert_eq!(machine.gauges().peers, 0);
+}
+
 #[test]
 fn retries_stay_a_fraction_of_first_attempts() {
     let mut budget = RetryBudget::new(0.1, 5);
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -188,6 +188,7 @@
             ("refusals_waiting", gauges.refusals_waiting as u64),
             ("refusals_dropped", gauges.refusals_dropped),
             ("claims", gauges.claims as u64),
+            ("peers", gauges.peers as u64),
         ];
         for (quantity, value) in rows {
             self.set_gauge(quantity, value);
