--- a/crates/cli/src/change.rs
+++ b/crates/cli/src/change.rs
@@ -2,7 +2,7 @@
 
 use crate::client::OperatorClient;
 use crate::error::CommandError;
-use crate::output::print_json;
+use crate::output::{print_json, say};
 use error_stack::Report;
 use parsleyspool_core::config::ConfigChange;
 use parsleyspool_wire::settings::ChangeWire;
@@ -63,17 +63,22 @@
     if client.options().json {
         return print_json(report);
     }
-    println!(
+    say!(
         "accepted {} as version {} after {} ms",
-        report.subject, report.version, report.accepted_ms
+        report.subject,
+        report.version,
+        report.accepted_ms
     );
     if let Some(in_force) = report.in_force_ms {
-        println!("in force everywhere after {in_force} ms");
+        say!("in force everywhere after {in_force} ms");
     }
     for missing in &report.missing {
-        println!(
+        say!(
             "not confirmed: {} {} holds version {}, heard from {} ms ago",
-            missing.role, missing.name, missing.version, missing.heard_ms
+            missing.role,
+            missing.name,
+            missing.version,
+            missing.heard_ms
         );
     }
     Ok(())
--- a/crates/cli/src/cmd/check.rs
+++ b/crates/cli/src/cmd/check.rs
@@ -1,6 +1,7 @@
 //! `parsleyspool check`.
 
 use crate::error::CommandError;
+use crate::output::say;
 use clap::Args;
 use error_stack::{Report, ResultExt};
 use parsleyspool_daemon::settings::{ProcessSettings, load};
@@ -21,10 +22,10 @@
         for file in &self.files {
             match load(file) {
                 Ok(ProcessSettings::Entry(entry)) => {
-                    println!("{}: entry {} is right", file.display(), entry.name);
+                    say!("{}: entry {} is right", file.display(), entry.name);
                 }
                 Ok(ProcessSettings::Agent(agent)) => {
-                    println!("{}: agent {} is right", file.display(), agent.name);
+                    say!("{}: agent {} is right", file.display(), agent.name);
                 }
                 Err(report) => {
                     let report = Err::<(), _>(report).change_context(CommandError::Input);
--- a/crates/cli/src/cmd/log_level.rs
+++ b/crates/cli/src/cmd/log_level.rs
@@ -2,6 +2,7 @@
 
 use crate::client::{ClientOptions, OperatorClient};
 use crate::error::CommandError;
+use crate::output::say;
 use clap::Args;
 use error_stack::Report;
 use parsleyspool_wire::operator::LogLevelBody;
@@ -22,7 +23,7 @@
         let client = OperatorClient::new(options)?;
         let body = LogLevelBody { filter: self.filter };
         let body = client.put(self.address, "/v1/log-level", &body).await?;
-        println!("{} logs at {}", self.address, body.filter);
+        say!("{} logs at {}", self.address, body.filter);
         Ok(())
     }
 }
--- a/crates/cli/src/cmd/questionnaire.rs
+++ b/crates/cli/src/cmd/questionnaire.rs
@@ -1,6 +1,7 @@
 //! `parsleyspool questionnaire`.
 
 use crate::error::CommandError;
+use crate::output::say;
 use clap::{Args, Subcommand};
 use error_stack::{Report, ResultExt};
 use parsleyspool_questionnaire::{
@@ -52,13 +53,13 @@
             Self::Ask(args) => {
                 let answers = interview(&mut std::io::stdin().lock(), &mut std::io::stdout())?;
                 write_yaml(&args.file, &answers)?;
-                println!("wrote {}", args.file.display());
+                say!("wrote {}", args.file.display());
                 refuse_faults(&answers, &args.file)
             }
             Self::Check(args) => {
                 let answers = load(&args.file)?;
                 refuse_faults(&answers, &args.file)?;
-                println!("{}: the answers are right", args.file.display());
+                say!("{}: the answers are right", args.file.display());
                 Ok(())
             }
             Self::Generate(args) => args.run(),
@@ -79,9 +80,9 @@
             write_yaml(&self.out.join(&file.name), &file.settings)?;
         }
         for line in &deployment.explanation {
-            println!("{line}");
+            say!("{line}");
         }
-        println!(
+        say!(
             "wrote {} files to {}; start the processes, then run `parsleyspool apply {}`",
             deployment.settings.len() + 1,
             self.out.display(),
--- a/crates/cli/src/cmd/reference.rs
+++ b/crates/cli/src/cmd/reference.rs
@@ -1,6 +1,7 @@
 //! `parsleyspool reference`.
 
 use crate::error::CommandError;
+use crate::output::write;
 use clap::{Args, ValueEnum};
 use error_stack::Report;
 use parsleyspool_core::error::{ErrorKind, Resubmission, RunProof};
@@ -30,7 +31,7 @@
 impl ReferenceArgs {
     /// Prints the table in Markdown.
     pub fn run(self) -> Result<(), Report<CommandError>> {
-        print!("{}", render(self.table));
+        write(format_args!("{}", render(self.table)));
         Ok(())
     }
 }
--- a/crates/cli/src/cmd/refusals.rs
+++ b/crates/cli/src/cmd/refusals.rs
@@ -2,7 +2,7 @@
 
 use crate::client::ClientOptions;
 use crate::error::CommandError;
-use crate::output::{print_json, table};
+use crate::output::{print_json, say, table, write};
 use clap::Args;
 use error_stack::{Report, ResultExt};
 use parsleyspool_core::account::{AccountAudit, AuditEnd, AuditStep, IncarnationAudit};
@@ -172,7 +172,7 @@
     for answer in &report.answers {
         let at =
             humantime::format_rfc3339_millis(UNIX_EPOCH + Duration::from_millis(answer.wall_ms));
-        println!(
+        say!(
             "{at} team={} service={} job={} submission={} kind={} not_run={} limit={} \
              allowed={} actual={} tasks={} version={}",
             answer.team,
@@ -200,8 +200,8 @@
             sum.not_run.to_string(),
         ]);
     }
-    print!("{}", table(&rows));
+    write(format_args!("{}", table(&rows)));
     for gap in &report.gaps {
-        println!("gap: {gap}");
+        say!("gap: {gap}");
     }
 }
--- a/crates/cli/src/cmd/service.rs
+++ b/crates/cli/src/cmd/service.rs
@@ -3,7 +3,7 @@
 use crate::change::make;
 use crate::client::{ClientOptions, OperatorClient};
 use crate::error::CommandError;
-use crate::output::{print_json, table};
+use crate::output::{print_json, table, write};
 use clap::{Args, Subcommand};
 use error_stack::{Report, ResultExt};
 use parsleyspool_wire::settings::{ChangeWire, RequestWire, ServiceWire};
@@ -158,6 +158,6 @@
             rows.push(row.map(str::to_owned).to_vec());
         }
     }
-    print!("{}", table(&rows));
+    write(format_args!("{}", table(&rows)));
     Ok(())
 }
--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -2,7 +2,7 @@
 
 use crate::client::{ClientOptions, OperatorClient};
 use crate::error::CommandError;
-use crate::output::{print_json, table};
+use crate::output::{print_json, say, table};
 use clap::Args;
 use error_stack::Report;
 use parsleyspool_wire::operator::StatusBody;
@@ -37,9 +37,14 @@
 }
 
 fn print_status(status: &StatusBody) {
-    println!(
+    say!(
         "{} is {}, holds version {} ({}), {} jobs, {} tasks queued",
-        status.name, status.life, status.version, status.freshness, status.jobs, status.queued
+        status.name,
+        status.life,
+        status.version,
+        status.freshness,
+        status.jobs,
+        status.queued
     );
     let mut rows = vec![HEADS.map(str::to_owned).to_vec()];
     for process in &status.processes {
@@ -55,5 +60,5 @@
             process.slots.to_string(),
         ]);
     }
-    println!("{}", table(&rows));
+    say!("{}", table(&rows));
 }
--- a/crates/cli/src/cmd/timeline.rs
+++ b/crates/cli/src/cmd/timeline.rs
@@ -3,7 +3,7 @@
 use crate::client::{ClientOptions, OperatorClient};
 use crate::error::CommandError;
 use crate::gather::GatheredEvents;
-use crate::output::print_json;
+use crate::output::{print_json, say};
 use crate::picture;
 use clap::Args;
 use error_stack::{Report, ResultExt};
@@ -71,10 +71,10 @@
             return print_json(&report(&shown, &gathered));
         }
         for observed in shown {
-            println!("{}", line(observed));
+            say!("{}", line(observed));
         }
         for gap in gathered.gaps() {
-            println!("gap: {gap}");
+            say!("gap: {gap}");
         }
         Ok(())
     }
--- a/crates/cli/src/cmd/verify.rs
+++ b/crates/cli/src/cmd/verify.rs
@@ -3,7 +3,7 @@
 use crate::client::{ClientOptions, OperatorClient};
 use crate::error::CommandError;
 use crate::gather::GatheredEvents;
-use crate::output::print_json;
+use crate::output::{print_json, say};
 use clap::Args;
 use error_stack::Report;
 use parsleyspool_core::checker::{CheckGrace, CheckReport, Promise, check};
@@ -49,15 +49,15 @@
             gaps,
         });
     }
-    println!("{} submissions, {} starts", report.submissions, report.starts);
+    say!("{} submissions, {} starts", report.submissions, report.starts);
     for (promise, name) in Promise::ALL {
         match report.first(promise) {
-            None => println!("{name}: holds"),
-            Some(breach) => println!("{name}: BROKEN first by {breach}"),
+            None => say!("{name}: holds"),
+            Some(breach) => say!("{name}: BROKEN first by {breach}"),
         }
     }
     for gap in gaps {
-        println!("gap: {gap}; what it would show is not checked");
+        say!("gap: {gap}; what it would show is not checked");
     }
     Ok(())
 }
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -3,6 +3,20 @@
 use crate::error::CommandError;
 use error_stack::{Report, ResultExt};
 use serde::Serialize;
+use std::io::Write;
+
+/// Prints a line, as `println` does, and ends the process quietly where nobody reads on.
+macro_rules! say {
+    ($($part:tt)*) => { $crate::output::write(format_args!("{}\n", format_args!($($part)*))) };
+}
+pub(crate) use say;
+
+/// Prints text as it is, and ends the process quietly where nobody reads on.
+pub fn write(text: std::fmt::Arguments<'_>) {
+    if std::io::stdout().write_fmt(text).is_err() {
+        std::process::exit(0);
+    }
+}
 
 /// Prints `value` as JSON.
 ///
@@ -10,7 +24,7 @@
 /// Fails where it cannot be written as JSON.
 pub fn print_json<T: Serialize>(value: &T) -> Result<(), Report<CommandError>> {
     let text = serde_json::to_string_pretty(value).change_context(CommandError::Input)?;
-    println!("{text}");
+    say!("{text}");
     Ok(())
 }
 
