Find a time line by the name of the job

Cause: a till knows the name of its job and may never have seen a submission; the time line could be asked for by submission only. Before: no event named the job.

--- a/crates/cli/src/cmd/timeline.rs
+++ b/crates/cli/src/cmd/timeline.rs
@@ -9,8 +9,10 @@
 use error_stack::{Report, ResultExt};
 use parsleyspool_core::checker::ObservedEvent;
 use parsleyspool_core::id::{SubmissionId, parse_id};
+use parsleyspool_core::timeline::EventKind;
 use parsleyspool_wire::operator::EventBody;
 use serde::Serialize;
+use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -20,6 +22,9 @@
     /// Only this submission, as an answer or account names it.
     #[arg(long)]
     submission: Option<String>,
+    /// Only the submissions of the job of this name.
+    #[arg(long, conflicts_with = "submission")]
+    job: Option<String>,
     /// Only this task of the submission.
     #[arg(long, requires = "submission")]
     task: Option<u32>,
@@ -57,12 +62,13 @@
 impl TimelineArgs {
     /// Gathers the events, and prints or draws those asked for.
     pub async fn run(self, options: ClientOptions) -> Result<(), Report<CommandError>> {
-        let submission = self.parsed_submission()?;
+        let given = self.parsed_submission()?;
         let client = OperatorClient::new(options)?;
         let gathered = GatheredEvents::load(&client).await;
+        let submissions = self.submissions(given, &gathered);
         let events = gathered.events.iter();
         let shown: Vec<&ObservedEvent> =
-            events.filter(|event| self.is_shown(event, submission, &gathered)).collect();
+            events.filter(|event| self.is_shown(event, submissions.as_ref(), &gathered)).collect();
         if let Some(path) = &self.svg {
             let text = picture::draw(&shown).change_context(CommandError::Input)?;
             std::fs::write(path, text).change_context(CommandError::Input)?;
@@ -86,16 +92,33 @@
         Ok(Some(parsed.ok_or_else(bad)?))
     }
 
+    /// Submissions to show; `None` where all are.
+    fn submissions(
+        &self,
+        given: Option<SubmissionId>,
+        gathered: &GatheredEvents,
+    ) -> Option<BTreeSet<SubmissionId>> {
+        let Some(job) = &self.job else { return given.map(|id| BTreeSet::from([id])) };
+        let named = gathered.events.iter().filter(|observed| {
+            let event = &observed.event;
+            let is_first = matches!(event.kind, EventKind::JobAdmitted | EventKind::JobRefused);
+            is_first && event.subject.as_deref() == Some(job)
+        });
+        Some(named.filter_map(|observed| observed.event.submission).collect())
+    }
+
     fn is_shown(
         &self,
         observed: &ObservedEvent,
-        submission: Option<SubmissionId>,
+        submissions: Option<&BTreeSet<SubmissionId>>,
         gathered: &GatheredEvents,
     ) -> bool {
         let event = &observed.event;
         let is_subject = |name: &str| event.subject.as_deref() == Some(name);
         let worker = gathered.workers.get(&*observed.process);
-        submission.is_none_or(|id| event.submission == Some(id))
+        let is_of =
+            |ids: &BTreeSet<SubmissionId>| event.submission.is_some_and(|id| ids.contains(&id));
+        submissions.is_none_or(is_of)
             && self.task.is_none_or(|task| event.task.is_none_or(|other| other == task))
             && self
                 .domain
--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -287,7 +287,7 @@
         self.dues.insert((job.due, id));
         let admitted = TimelineEvent::new(EventKind::JobAdmitted).submission(id);
         let admitted =
-            admitted.subject(&job.service).figure(EventFigure::Tasks(job.tasks.len() as u64));
+            admitted.subject(&job.job).figure(EventFigure::Tasks(job.tasks.len() as u64));
         self.note(admitted);
         match claim {
             None => {
@@ -353,6 +353,7 @@
     ) {
         let submission = subject.submission;
         let refused = TimelineEvent::new(EventKind::JobRefused).submission(submission);
+        let refused = refused.subject(&subject.job);
         self.note(
             refused
                 .figure(EventFigure::Kind(error.kind))
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -132,7 +132,7 @@
     pub submission: Option<SubmissionId>,
     /// Task that it concerns.
     pub task: Option<TaskIndex>,
-    /// Server, failure domain or worker that it concerns.
+    /// Server, failure domain or worker that it concerns, or the name of its job.
     pub subject: Option<Arc<str>>,
     /// Further figures; never job content.
     pub figures: Vec<EventFigure>,
@@ -161,7 +161,7 @@
         Self { task: Some(index), ..self }
     }
 
-    /// The same event about a server, failure domain or worker.
+    /// The same event about a server, failure domain or worker, or the job of this name.
     pub fn subject(self, subject: &Arc<str>) -> Self {
         Self { subject: Some(subject.clone()), ..self }
     }
--- a/crates/standins/src/cmd/run.rs
+++ b/crates/standins/src/cmd/run.rs
@@ -8,6 +8,7 @@
 use parsleyspool_standins::error::StandinError;
 use parsleyspool_standins::jobs::JobFile;
 use parsleyspool_wire::caller::{AnswerBody, ErrorBody, SubmitBody};
+use parsleyspool_wire::operator::ChangeOutcomeBody;
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -39,7 +40,7 @@
         let system = EmbeddedSystem::start(&EmbeddedShape::small(file.services())).await?;
         for change in file.changes {
             let outcome = system.change(change, 0).await?;
-            println!("change {outcome:?}");
+            println!("change {}", describe(&outcome));
         }
         system.wait_ready(system.agents.len()).await?;
         let started = Instant::now();
@@ -56,6 +57,17 @@
     }
 }
 
+fn describe(outcome: &ChangeOutcomeBody) -> String {
+    match outcome {
+        ChangeOutcomeBody::Accepted { version } => format!("outcome=accepted version={version}"),
+        ChangeOutcomeBody::Rejected { current } => format!("outcome=rejected current={current}"),
+        ChangeOutcomeBody::Unconfirmed { version } => {
+            format!("outcome=unconfirmed version={version}")
+        }
+        ChangeOutcomeBody::Unknown => "outcome=unknown".to_owned(),
+    }
+}
+
 async fn submit(
     system: &EmbeddedSystem,
     mut job: SubmitBody,
