Base a change only on a configuration that its entry can confirm

Cause: restarting a deployment on an old log, `apply` was once rejected at its first change: the entry asked had not read the log yet, and the change was based on its empty state. It was told truthfully, but the operator had seen nothing stale. Ruled out: the fold (the change stood in the log once, on base 0). Conclusion: an operator's base is evidence too, and needs a confirmation.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -43,6 +43,9 @@
 /// Time for one request to one of many processes.
 const GATHER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Word of an entry that cannot confirm its configuration.
+const LAPSED: &str = "lapsed";
+
 /// Client of the entries.
 #[derive(Debug)]
 pub struct OperatorClient {
@@ -80,6 +83,21 @@
         self.ask_any("/v1/config").await
     }
 
+    /// Configuration at the first entry that can confirm it.
+    async fn fresh_config(&self) -> Result<ConfigBody, Report<CommandError>> {
+        for entry in &self.options.entries {
+            let request = self.http.get(format!("http://{entry}/v1/config"));
+            let answer: Result<ConfigBody, _> = self.send(request).await;
+            if let Ok(body) = answer
+                && body.freshness != LAPSED
+            {
+                return Ok(body);
+            }
+        }
+        let text = "no entry that answers can confirm its configuration";
+        Err(Report::new(CommandError::Unreachable).attach(text))
+    }
+
     /// Status of each entry given, where it answers.
     pub async fn statuses(&self) -> Vec<(SocketAddr, Option<StatusBody>)> {
         let mut statuses = Vec::new();
@@ -124,7 +142,7 @@
         subject: &ConfigSubject,
         change: ChangeWire,
     ) -> Result<AcceptedChange, Report<CommandError>> {
-        let config = self.config().await?.configuration;
+        let config = self.fresh_config().await?.configuration;
         let base = config.subjects.get(&subject.to_string()).copied().unwrap_or(0);
         let id = Uuid::new_v4().simple().to_string();
         let operator = self.options.operator.clone();
