Write once what three places read from a time line, and drop what nothing calls

Cause: reading the whole change once more. The command line, the bench and the process test each turned a time line into events for the checker; two files of the stand-ins read YAML in the same lines; an agent's question for its incarnation, its discard, the send time of a task and the count of open tasks in a job had no caller. Before: three conversions, two loaders, four dead pieces. After: TimelineBody::observed, load_yaml, none. The process test still asserts that every event is known and every process has its incarnation. Behaviour is as it was. Conclusion: looked at and left: the wire's words beside the core's (types of their own by rule), and answers beside settings (one is asked, the other is stored).

--- a/crates/cli/src/gather.rs
+++ b/crates/cli/src/gather.rs
@@ -2,8 +2,6 @@
 
 use crate::client::OperatorClient;
 use parsleyspool_core::checker::ObservedEvent;
-use parsleyspool_core::id::parse_id;
-use parsleyspool_core::timeline::TimelineEvent;
 use parsleyspool_wire::operator::TimelineBody;
 use std::collections::BTreeMap;
 
@@ -51,16 +49,7 @@
             self.turned_over.push((body.process.clone(), body.dropped));
         }
         self.workers.insert(body.process.clone(), body.worker.clone());
-        let incarnation = parse_id(&body.incarnation).and_then(|id| u64::try_from(id).ok());
-        let process: std::sync::Arc<str> = body.process.as_str().into();
-        let domain: std::sync::Arc<str> = body.domain.as_str().into();
-        let events = body.events.iter().filter_map(|event| TimelineEvent::try_from(event).ok());
-        self.events.extend(events.map(|event| ObservedEvent {
-            process: process.clone(),
-            incarnation: incarnation.unwrap_or_default(),
-            domain: domain.clone(),
-            event,
-        }));
+        self.events.extend(body.observed());
     }
 
     /// Lines that say what is missing.
--- a/crates/cli/tests/processes/proofs.rs
+++ b/crates/cli/tests/processes/proofs.rs
@@ -3,8 +3,6 @@
 use crate::caller::CallerReply;
 use crate::deployment::Deployment;
 use parsleyspool_core::checker::{CheckGrace, ObservedEvent, check};
-use parsleyspool_core::id::parse_id;
-use parsleyspool_core::timeline::TimelineEvent;
 use parsleyspool_wire::operator::TimelineBody;
 use std::collections::HashMap;
 
@@ -50,20 +48,12 @@
         for address in addresses {
             bodies.extend(self.get_at::<TimelineBody>(address, "/v1/timeline").await);
         }
-        let events: Vec<ObservedEvent> = bodies.iter().flat_map(observed).collect();
+        let events: Vec<ObservedEvent> = bodies.iter().flat_map(TimelineBody::observed).collect();
+        let sent: usize = bodies.iter().map(|body| body.events.len()).sum();
+        assert_eq!(events.len(), sent, "every event is known");
+        assert!(events.iter().all(|observed| observed.incarnation != 0));
         let report = check(&events, CheckGrace::default());
         assert!(report.breaches.is_empty(), "{:?}", report.breaches);
         assert!(report.starts > 0);
     }
 }
-
-fn observed(body: &TimelineBody) -> Vec<ObservedEvent> {
-    let incarnation = parse_id(&body.incarnation).and_then(|id| u64::try_from(id).ok());
-    let events = body.events.iter().map(|event| ObservedEvent {
-        process: body.process.as_str().into(),
-        incarnation: incarnation.expect("an incarnation"),
-        domain: body.domain.as_str().into(),
-        event: TimelineEvent::try_from(event).expect("a known event"),
-    });
-    events.collect()
-}
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -189,7 +189,6 @@
             return;
         }
         task.server = Some((candidate.index, incarnation));
-        task.sent = now.elapsed;
         task.attempts += 1;
         task.expected = candidate.run_time;
         let wait = candidate.finish_time() * ASK_FACTOR + self.limits.ask_after;
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -54,8 +54,6 @@
     state: TaskState,
     /// Server that has it, with the incarnation addressed.
     pub server: Option<(usize, Incarnation)>,
-    /// When the present start was sent.
-    pub sent: Duration,
     /// Clock of the agent that is surely not later than the sending of the present start.
     pub sent_at: Duration,
     /// When to ask for its outcome over a new connection.
@@ -78,7 +76,6 @@
             request,
             state: LifecycleCharts::shared().task.initial(),
             server: None,
-            sent: Duration::ZERO,
             sent_at: Duration::ZERO,
             ask_at: None,
             attempts: 0,
@@ -185,11 +182,6 @@
         self.arrived + self.surcharge
     }
 
-    /// Number of tasks not yet answered.
-    pub fn open_tasks(&self) -> usize {
-        self.tasks.len() - self.answered
-    }
-
     /// Stores the answer of the task at `index`; returns whether the job is whole now.
     pub fn store(&mut self, index: usize, answer: Bytes) -> bool {
         self.tasks[index].answer = Some(answer);
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -182,9 +182,6 @@
         daemon.tasks.push(tokio::spawn(actor::tick(address)));
         self.serve()
     }
-
-    /// Ends at once, as a crash would; for tests.
-    pub fn discard(self) {}
 }
 
 /// Time for starts under way to arrive after every entry has heard of the drain.
--- a/crates/daemon/src/agent/actor.rs
+++ b/crates/daemon/src/agent/actor.rs
@@ -4,7 +4,7 @@
 use parsleyspool_core::agent::{AgentAction, AgentEvent, AgentMachine};
 use parsleyspool_core::directory::ServerReport;
 use parsleyspool_core::entry::{AgentDirective, LoadReport, StartOrder, TaskReply};
-use parsleyspool_core::id::{EntryName, Incarnation, TaskId};
+use parsleyspool_core::id::{EntryName, TaskId};
 use parsleyspool_wire::operator::StatusBody;
 use parsleyspool_wire::peer::{AskMessage, TaskReplyMessage};
 use std::collections::HashMap;
@@ -223,22 +223,6 @@
     }
 }
 
-/// Asks for the incarnation.
-#[derive(Debug)]
-pub(crate) struct QueryIncarnation;
-
-impl Handler<QueryIncarnation> for AgentActor {
-    type Return = Incarnation;
-
-    async fn handle(
-        &mut self,
-        _message: QueryIncarnation,
-        _ctx: &mut Context<Self>,
-    ) -> Incarnation {
-        self.machine.incarnation()
-    }
-}
-
 /// Ticks for as long as the actor lives.
 pub(crate) async fn tick(address: Address<AgentActor>) {
     let mut interval = tokio::time::interval(TICK);
--- a/crates/standins/src/experiment/file.rs
+++ b/crates/standins/src/experiment/file.rs
@@ -1,7 +1,8 @@
 //! Experiment file.
 
 use crate::error::StandinError;
-use error_stack::{Report, ResultExt};
+use crate::yaml::load_yaml;
+use error_stack::Report;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -124,12 +125,7 @@
     /// # Errors
     /// Fails where it cannot be read; the report names line and key.
     pub fn load(path: &Path) -> Result<Self, Report<StandinError>> {
-        let text = std::fs::read_to_string(path)
-            .change_context(StandinError::File)
-            .attach_with(|| path.display().to_string())?;
-        serde_saphyr::from_str(&text)
-            .change_context(StandinError::Form)
-            .attach_with(|| path.display().to_string())
+        load_yaml(path)
     }
 
     /// Work that all slots do in one second, in seconds at pace 1.
--- a/crates/standins/src/experiment/measure.rs
+++ b/crates/standins/src/experiment/measure.rs
@@ -1,8 +1,7 @@
 //! Figures that the processes themselves give: messages, busy slots and broken promises.
 
 use parsleyspool_core::checker::{CheckGrace, CheckReport, ObservedEvent, check};
-use parsleyspool_core::id::parse_id;
-use parsleyspool_core::timeline::{EventFigure, EventKind, TimelineEvent};
+use parsleyspool_core::timeline::{EventFigure, EventKind};
 use parsleyspool_wire::operator::{StatusBody, TimelineBody};
 use reqwest::Client;
 use serde::{Deserialize, Serialize};
@@ -97,25 +96,13 @@
 
 /// Checks the promises over `bodies`.
 pub fn verify(bodies: &[TimelineBody]) -> CheckReport {
-    let events: Vec<ObservedEvent> = bodies.iter().flat_map(observed).collect();
+    let events: Vec<ObservedEvent> = bodies.iter().flat_map(TimelineBody::observed).collect();
     let gaps = bodies.iter().filter(|body| body.dropped > 0);
     let gaps: BTreeMap<_, _> =
         gaps.map(|body| (body.process.as_str().into(), body.dropped)).collect();
     CheckReport { gaps, ..check(&events, CheckGrace::default()) }
 }
 
-fn observed(body: &TimelineBody) -> Vec<ObservedEvent> {
-    let incarnation = parse_id(&body.incarnation).and_then(|id| u64::try_from(id).ok());
-    let events = body.events.iter().filter_map(|event| TimelineEvent::try_from(event).ok());
-    let events = events.map(|event| ObservedEvent {
-        process: body.process.as_str().into(),
-        incarnation: incarnation.unwrap_or_default(),
-        domain: body.domain.as_str().into(),
-        event,
-    });
-    events.collect()
-}
-
 /// Share of the slots that ran a task between `from` and `until`, by the wall clock, over the
 /// agents for which `counts` is true.
 pub fn busy_share(
@@ -133,7 +120,7 @@
 }
 
 fn busy_time(body: &TimelineBody, from: Duration, until: Duration) -> Duration {
-    let runs = observed(body).into_iter().filter_map(|observed| {
+    let runs = body.observed().into_iter().filter_map(|observed| {
         let run_time = observed.event.figures.iter().find_map(|figure| match figure {
             EventFigure::RunTimeUs(time) => Some(Duration::from_micros(*time)),
             _ => None,
--- a/crates/standins/src/jobs.rs
+++ b/crates/standins/src/jobs.rs
@@ -1,7 +1,8 @@
 //! Job files: a configuration and the jobs to submit under it.
 
 use crate::error::StandinError;
-use error_stack::{Report, ResultExt};
+use crate::yaml::load_yaml;
+use error_stack::Report;
 use parsleyspool_wire::caller::SubmitBody;
 use parsleyspool_wire::settings::ChangeWire;
 use serde::Deserialize;
@@ -23,12 +24,7 @@
     /// # Errors
     /// Fails where it cannot be read; the report names line and key.
     pub fn load(path: &Path) -> Result<Self, Report<StandinError>> {
-        let text = std::fs::read_to_string(path)
-            .change_context(StandinError::File)
-            .attach_with(|| path.display().to_string())?;
-        serde_saphyr::from_str(&text)
-            .change_context(StandinError::Form)
-            .attach_with(|| path.display().to_string())
+        load_yaml(path)
     }
 
     /// Services named by the jobs and changes.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod jobs;
 pub mod log;
 pub mod proxy;
+pub mod yaml;
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -1,9 +1,11 @@
 //! JSON between the command line and the daemons.
 
+use parsleyspool_core::checker::ObservedEvent;
 use parsleyspool_core::id::{format_id, parse_id};
 use parsleyspool_core::time::Stamp;
 use parsleyspool_core::timeline::{EventFigure, EventKind, EventRing, TimelineEvent};
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 use crate::settings::{BadIdentifier, ChangeRecordWire, ConfigurationWire};
 
@@ -175,6 +177,21 @@
 }
 
 impl TimelineBody {
+    /// Events with their process, for the checker; those of an unknown kind are left out.
+    pub fn observed(&self) -> Vec<ObservedEvent> {
+        let incarnation = parse_id(&self.incarnation).and_then(|id| u64::try_from(id).ok());
+        let process: Arc<str> = self.process.as_str().into();
+        let domain: Arc<str> = self.domain.as_str().into();
+        let events = self.events.iter().filter_map(|event| TimelineEvent::try_from(event).ok());
+        let events = events.map(|event| ObservedEvent {
+            process: process.clone(),
+            incarnation: incarnation.unwrap_or_default(),
+            domain: domain.clone(),
+            event,
+        });
+        events.collect()
+    }
+
     /// Body of `ring`; the caller fills in who the process is.
     pub fn new(process: &str, role: &str, ring: &EventRing) -> Self {
         Self {
