Take the waiting tasks of a job out of the queue when it ends

Cause: reading the change once more. A job that was cancelled or failed left its waiting tasks in the queue until they came to its head; behind a task that waits for a full server they stayed, so waves of cancellations could grow the queue beyond tasks_held. TeamQueue::retain, meant for this, had no caller. Ruled out: the admission, which counts held tasks rightly. Conclusion: a job frees its place in the queue when it ends, at the cost of one look-up a waiting task.

--- a/crates/core/src/entry/ending.rs
+++ b/crates/core/src/entry/ending.rs
@@ -115,8 +115,12 @@
     }
 
     fn abandon_tasks(&mut self, job: &mut HeldJob) {
+        let rank = job.rank();
         for (task, index) in job.tasks.iter_mut().zip(0u32..) {
             let id = TaskId::new(job.id, index);
+            if task.state() == TaskState::Queued {
+                self.queue.remove(&job.service, id, rank);
+            }
             if let Some(at) = task.ask_at.take() {
                 self.asks.remove(&(at, id));
             }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -34,7 +34,7 @@
         Self::default()
     }
 
-    /// Number of tasks that wait, tasks of ended jobs included.
+    /// Number of tasks that wait.
     pub fn len(&self) -> usize {
         self.len
     }
@@ -90,11 +90,11 @@
         }
     }
 
-    /// Removes the tasks for which `keep` is false; used when many jobs end together.
-    pub fn retain(&mut self, keep: impl Fn(&TaskId) -> bool) {
-        for queue in self.services.values_mut() {
-            queue.tasks.retain(|(_, task)| keep(task));
+    /// Removes a task of `rank` that nobody waits for any more.
+    pub fn remove(&mut self, service: &str, task: TaskId, rank: Duration) {
+        let queue = self.services.get_mut(service);
+        if queue.is_some_and(|queue| queue.tasks.remove(&(rank, task))) {
+            self.len -= 1;
         }
-        self.len = self.services.values().map(|queue| queue.tasks.len()).sum();
     }
 }
--- a/crates/core/tests/session/desk.rs
+++ b/crates/core/tests/session/desk.rs
@@ -309,6 +309,15 @@
         self.read_log();
     }
 
+    pub fn cancel(&mut self, ticket: u64) {
+        self.tell(&format!("cancel ticket={ticket}"), EntryEvent::Cancel { ticket });
+    }
+
+    /// Tasks that wait at the entry.
+    pub fn queued(&self) -> usize {
+        self.machine.gauges().queued
+    }
+
     pub fn drain(&mut self) {
         self.tell("drain", EntryEvent::Drain);
     }
--- a/crates/core/tests/session/main.rs
+++ b/crates/core/tests/session/main.rs
@@ -151,6 +151,19 @@
     insta::assert_snapshot!(desk.story());
 }
 
+#[test]
+fn jobs_that_end_leave_nothing_in_the_queue_of_a_full_entry() {
+    let mut desk = SessionDesk::with_servers(&["a"]);
+    desk.submit(1, "look", 4);
+
+    for ticket in 2..=100 {
+        desk.submit(ticket, "look", 8);
+        desk.cancel(ticket);
+    }
+
+    assert_eq!(desk.queued(), 0);
+}
+
 #[test]
 fn a_replaced_server_loses_what_it_had() {
     let mut desk = SessionDesk::with_servers(&["a"]);
