--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -323,7 +323,19 @@
 
     /// Whether a start may leave now.
     fn is_fresh(&self, now: Moment) -> bool {
-        self.ledger.is_whole() && self.verdict.until().is_some_and(|until| until > now.elapsed)
+        self.ledger.is_whole() && self.permit_until(now).is_some()
+    }
+
+    /// Time up to which a start may be permitted; `None` where none may leave.
+    fn permit_until(&self, now: Moment) -> Option<Duration> {
+        let evidence = self.verdict.until().filter(|&until| until > now.elapsed);
+        let is_held = self.limits.serves_unconfirmed && self.version() > 0;
+        evidence.or_else(|| is_held.then_some(now.elapsed + self.limits.lease))
+    }
+
+    /// Whether the entry has started so lately that servers may not have announced themselves yet.
+    fn is_warming(&self, now: Moment) -> bool {
+        now.elapsed < self.limits.warm_up
     }
 
     fn account(&mut self, subject: AccountSubject, error: JobError, now: Moment) {
--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -158,7 +158,10 @@
         Ok(())
     }
 
-    fn check_servers(&self, request: &JobRequest, _now: Moment) -> Result<(), JobError> {
+    fn check_servers(&self, request: &JobRequest, now: Moment) -> Result<(), JobError> {
+        if self.is_warming(now) {
+            return Ok(());
+        }
         let configuration = self.ledger.configuration();
         let offering = self.directory.offering(&request.service);
         let may_serve = |&index: &usize| {
@@ -178,7 +181,10 @@
         Err(JobError::new(ErrorKind::NoServerInService, figures))
     }
 
-    fn check_fit(&self, request: &JobRequest, _now: Moment) -> Result<(), JobError> {
+    fn check_fit(&self, request: &JobRequest, now: Moment) -> Result<(), JobError> {
+        if self.is_warming(now) && self.directory.offering(&request.service).is_empty() {
+            return Ok(());
+        }
         let spec = find_spec(self.ledger.configuration(), request)?;
         let offering = self.directory.offering(&request.service).iter();
         let rooms = offering.filter_map(|&index| Some(self.directory.get(index)?.latest().whole));
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -177,7 +177,7 @@
     }
 
     fn send(&mut self, id: TaskId, candidate: PlacementCandidate, now: Moment) {
-        let Some(until) = self.verdict.until() else { return };
+        let Some(until) = self.permit_until(now) else { return };
         let version = self.version();
         let Some(job) = self.jobs.get_mut(&id.submission) else { return };
         let Some(server) = self.directory.get_mut(candidate.index) else { return };
--- a/crates/core/src/entry/limits.rs
+++ b/crates/core/src/entry/limits.rs
@@ -27,6 +27,9 @@
     pub ask_after: Duration,
     /// Age of evidence after which nothing is started on it.
     pub lease: Duration,
+    /// Time after its start for which the entry lets jobs wait for servers that it has not heard of
+    /// yet; zero where it refuses them.
+    pub warm_up: Duration,
     /// Whether work goes on under the configuration held while nothing confirms that it is in
     /// force.
     pub serves_unconfirmed: bool,
@@ -81,6 +84,7 @@
             retry_reserve: 100,
             ask_after: Duration::from_millis(500),
             lease: Duration::from_secs(3),
+            warm_up: Duration::ZERO,
             serves_unconfirmed: false,
             run_lease: Duration::ZERO,
             run_lapse: Duration::ZERO,
--- a/crates/core/tests/session/main.rs
+++ b/crates/core/tests/session/main.rs
@@ -173,3 +173,53 @@
 
     insta::assert_snapshot!(desk.story());
 }
+
+#[test]
+fn a_job_that_comes_before_any_server_is_known_waits_while_the_entry_warms_up() {
+    let mut desk = SessionDesk::warming(&["a"]);
+
+    desk.submit(1, "look", 1);
+    desk.greet_all();
+    desk.answer_task(1, 0);
+
+    insta::assert_snapshot!(desk.story());
+}
+
+#[test]
+fn a_failed_run_is_repeated_elsewhere_until_its_attempts_are_used_up() {
+    let mut desk = SessionDesk::with_servers(&["a", "b"]);
+
+    desk.submit(1, "again", 1);
+    desk.fail_task(1, 0);
+    desk.fail_task(1, 0);
+    desk.fail_task(1, 0);
+
+    insta::assert_snapshot!(desk.story());
+}
+
+#[test]
+fn the_runs_of_a_silent_agent_are_repeated_once_they_have_surely_ended() {
+    let mut desk = SessionDesk::leased(&["a", "b"]);
+
+    desk.submit(1, "again", 1);
+    let start = desk.start_of(1, 0);
+    desk.break_exchange(start, BrokenReach::PeerGone);
+    for _ in 0..6 {
+        desk.pass_ms(300);
+        desk.greet_others(start);
+    }
+    desk.answer_task(1, 0);
+
+    insta::assert_snapshot!(desk.story());
+}
+
+#[test]
+fn work_goes_on_unconfirmed_where_the_settings_say_so() {
+    let mut desk = SessionDesk::leased(&["a"]);
+
+    desk.pass_ms(3_010);
+    desk.greet_all();
+    desk.submit(1, "again", 1);
+
+    insta::assert_snapshot!(desk.story());
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -124,6 +124,9 @@
     /// Age of evidence after which nothing is started on it.
     #[serde(with = "humantime_serde")]
     pub lease: Duration,
+    /// Time after the start for which jobs wait for servers not heard of yet.
+    #[serde(with = "humantime_serde")]
+    pub warm_up: Duration,
     /// Whether work goes on while nothing confirms the configuration.
     pub serves_unconfirmed: bool,
     /// How long tasks run on after a heartbeat; zero where they run on without.
@@ -185,6 +188,7 @@
             retry_ratio: limits.retry_ratio,
             ask_after: limits.ask_after,
             lease: limits.lease,
+            warm_up: limits.warm_up,
             serves_unconfirmed: limits.serves_unconfirmed,
             run_lease: limits.run_lease,
             run_lapse: limits.run_lapse,
@@ -423,6 +427,7 @@
             retry_ratio: limits.retry_ratio,
             ask_after: limits.ask_after,
             lease: limits.lease,
+            warm_up: limits.warm_up,
             serves_unconfirmed: limits.serves_unconfirmed,
             run_lease: limits.run_lease,
             run_lapse: limits.run_lapse,
--- a/crates/daemon/src/settings/reference.rs
+++ b/crates/daemon/src/settings/reference.rs
@@ -19,7 +19,7 @@
 }
 
 /// Every key of both kinds of file.
-pub const SETTING_TABLE: [SettingRow; 66] = [
+pub const SETTING_TABLE: [SettingRow; 67] = [
     row("entry.name", "text", "name of the entry, kept over replacements"),
     row("entry.domain", "text", "failure domain of the entry"),
     row("entry.rank", "number", "position among the entries, to keep them out of step"),
@@ -42,6 +42,7 @@
     row("entry.limits.retry_ratio", "ratio", "retries earned by each first attempt"),
     row("entry.limits.ask_after", "duration", "time beyond the expected one before asking"),
     row("entry.limits.lease", "duration", "age of evidence after which nothing starts on it"),
+    row("entry.limits.warm_up", "duration", "wait after the start for servers not heard of"),
     row("entry.limits.serves_unconfirmed", "flag", "work goes on without evidence"),
     row("entry.limits.run_lease", "duration", "how long tasks run on after a heartbeat"),
     row("entry.limits.run_lapse", "duration", "time after that until every run has ended"),
