Put jobs that have become late behind those that can still be on time

Ruled out: servers found late (all within 0.15 s of each other). Seen and left: a resend after a cut states the time left, but counts from its arrival here.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -54,6 +54,8 @@
     pub stretch_percent: u32,
     /// Time allowed on top of that.
     pub allowance: Duration,
+    /// Percentage of the objective after which the answer is of no use.
+    pub patience_percent: u32,
 }
 
 impl LatencyObjective {
@@ -62,6 +64,11 @@
         let stretch = self.stretch_percent.saturating_sub(100);
         run_time * stretch / 100 + self.allowance
     }
+
+    /// Time after which the answer to a job, whose longest task takes `run_time`, is of no use.
+    pub fn patience(&self, run_time: Duration) -> Duration {
+        (run_time + self.slack(run_time)) * self.patience_percent / 100
+    }
 }
 
 /// Where requests that name a host and a path go.
--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -5,7 +5,7 @@
 use crate::config::{Configuration, ServiceSpec};
 use crate::error::{ErrorKind, JobError, RefusalFigures};
 use crate::id::{SubmissionId, submission_id};
-use crate::job::{HeldJob, JobAnswer, JobRequest};
+use crate::job::{HeldJob, JobAnswer, JobPatience, JobRequest};
 use crate::lifecycle::{JobEvent, ServerState};
 use crate::room::ServerRoom;
 use crate::time::Moment;
@@ -287,7 +287,9 @@
         let Some(spec) = self.ledger.configuration().services.get(&request.service) else { return };
         let digest = claim.map_or(0, |_| content_digest(&request.tasks));
         let mut job = HeldJob::new(id, ticket, request, spec, now.elapsed);
-        job.surcharge = self.surcharge(&job);
+        job.patience = self.patience(&job);
+        let by_size = self.limits.task_surcharge * job.task_count();
+        job.surcharge = job.patience.map_or(by_size, |patience| patience.slack);
         job.claim = claim;
         job.digest = digest;
         self.held_tasks += job.tasks.len();
@@ -316,19 +318,18 @@
         }
     }
 
-    /// Time by which a job is put back in the queue: what it may wait within its objective, or more
-    /// for a larger job where its requests have none.
-    fn surcharge(&self, job: &HeldJob) -> Duration {
-        let spec = self.ledger.configuration().services.get(&job.service);
-        let by_size = self.limits.task_surcharge * job.task_count();
-        let slack = job.tasks.iter().map(|task| {
-            let rule = spec?.requests.get(&task.request.request)?;
-            let objective = rule.objective?;
+    /// Times up to which a job keeps its place in the queue, where all its requests have objectives.
+    fn patience(&self, job: &HeldJob) -> Option<JobPatience> {
+        let spec = self.ledger.configuration().services.get(&job.service)?;
+        let patience = job.tasks.iter().map(|task| {
             let request = &task.request.request;
+            let objective = spec.requests.get(request)?.objective?;
             let expected = self.run_times.expected(&job.service, request, task.declared);
-            Some(objective.slack(expected))
+            let (slack, useless_after) = (objective.slack(expected), objective.patience(expected));
+            Some(JobPatience { slack, useless_after })
         });
-        slack.collect::<Option<Vec<_>>>().and_then(|all| all.into_iter().max()).unwrap_or(by_size)
+        let patience: Option<Vec<JobPatience>> = patience.collect();
+        patience?.into_iter().max_by_key(|patience| patience.slack)
     }
 
     fn join(&mut self, ticket: u64, id: SubmissionId) {
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -49,6 +49,10 @@
     /// Places the next waiting task of `services`; `Wait` where there is none or none can go.
     fn place_next(&mut self, services: &[ServiceName], now: Moment) -> PlaceOutcome {
         let Some((task, team)) = self.queue.pop(services) else { return PlaceOutcome::Wait };
+        if self.demote(task.submission, now) {
+            self.put_back(task);
+            return PlaceOutcome::Gone;
+        }
         let outcome = self.place(task, now);
         match outcome {
             PlaceOutcome::Wait => self.put_back(task),
@@ -61,6 +65,28 @@
         outcome
     }
 
+    /// Puts the waiting tasks of a job that has become late behind those that can still be on time;
+    /// returns whether its place changed.
+    fn demote(&mut self, id: SubmissionId, now: Moment) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else { return false };
+        let band = job.band_at(now.elapsed);
+        if band == job.band() {
+            return false;
+        }
+        let (service, team, before) = (job.service.clone(), job.team.clone(), job.rank());
+        job.set_band(band);
+        let after = job.rank();
+        let waiting = job.tasks.iter().zip(0u32..);
+        let waiting = waiting.filter(|(task, _)| task.state() == TaskState::Queued);
+        for (_, index) in waiting {
+            let task = TaskId::new(id, index);
+            if self.queue.remove(&service, task, before) {
+                self.queue.push(&service, &team, task, after);
+            }
+        }
+        true
+    }
+
     /// Fills the server at `index` with waiting tasks of the services that it offers.
     pub(super) fn pump_server(&mut self, index: usize, now: Moment) {
         if self.queue.is_empty() || !self.is_fresh(now) {
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -124,6 +124,29 @@
     }
 }
 
+/// How a job stands to the time in which its answer is wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum JobBand {
+    /// It can be answered within its objective.
+    OnTime,
+    /// Its answer will be late.
+    Late,
+    /// Its answer will be of no use, but may still be waited for.
+    Spent,
+}
+
+/// Times up to which a job that waits keeps its place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct JobPatience {
+    /// Latest start for an answer within the objective, from its arrival.
+    pub slack: Duration,
+    /// Time from its arrival after which its answer is of no use.
+    pub useless_after: Duration,
+}
+
+/// Distance between the ranks of two bands, longer than any slack.
+const BAND_GAP: Duration = Duration::from_secs(60);
+
 /// One submission held until it is answered.
 #[derive(Debug)]
 pub struct HeldJob {
@@ -151,6 +174,9 @@
     pub digest: u64,
     /// Tasks by index.
     pub tasks: Vec<HeldTask>,
+    /// When its answer is wanted, where its requests say so.
+    pub patience: Option<JobPatience>,
+    band: JobBand,
     state: JobState,
     answered: usize,
 }
@@ -177,6 +203,8 @@
             arrived: now,
             due,
             surcharge: Duration::ZERO,
+            patience: None,
+            band: JobBand::OnTime,
             claim: None,
             digest: 0,
             tasks: request.tasks.into_iter().map(|task| HeldTask::new(task, spec)).collect(),
@@ -213,7 +241,35 @@
 
     /// Order of its tasks among those that wait here.
     pub fn rank(&self) -> Duration {
-        self.arrived + self.surcharge
+        let gap = match self.band {
+            JobBand::OnTime => Duration::ZERO,
+            JobBand::Late => BAND_GAP,
+            JobBand::Spent => BAND_GAP * 2,
+        };
+        self.arrived + self.surcharge + gap
+    }
+
+    /// Band at `now`; a job never goes back to an earlier one.
+    pub fn band_at(&self, now: Duration) -> JobBand {
+        let Some(patience) = self.patience else { return self.band };
+        let waited = now.saturating_sub(self.arrived);
+        if waited > patience.useless_after {
+            JobBand::Spent
+        } else if waited > patience.slack {
+            self.band.max(JobBand::Late)
+        } else {
+            self.band
+        }
+    }
+
+    /// Moves the job to `band`.
+    pub fn set_band(&mut self, band: JobBand) {
+        self.band = band;
+    }
+
+    /// Band that the job was last put in.
+    pub fn band(&self) -> JobBand {
+        self.band
     }
 
     /// Stores the answer of the task at `index`; returns whether the job is whole now.
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -90,11 +90,13 @@
         }
     }
 
-    /// Removes a task of `rank` that nobody waits for any more.
-    pub fn remove(&mut self, service: &str, task: TaskId, rank: Duration) {
+    /// Takes `task` out of the queue of `service`; returns whether it waited there under `rank`.
+    pub fn remove(&mut self, service: &str, task: TaskId, rank: Duration) -> bool {
         let queue = self.services.get_mut(service);
-        if queue.is_some_and(|queue| queue.tasks.remove(&(rank, task))) {
+        let is_removed = queue.is_some_and(|queue| queue.tasks.remove(&(rank, task)));
+        if is_removed {
             self.len -= 1;
         }
+        is_removed
     }
 }
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -38,6 +38,8 @@
     /// Time allowed on top of that.
     #[serde(with = "humantime_serde")]
     pub allowance: Duration,
+    /// Percentage of the objective after which the answer is of no use.
+    pub patience_percent: u32,
 }
 
 /// Route for requests that name no service.
@@ -212,13 +214,21 @@
 
 impl From<ObjectiveWire> for LatencyObjective {
     fn from(wire: ObjectiveWire) -> Self {
-        Self { stretch_percent: wire.stretch_percent, allowance: wire.allowance }
+        Self {
+            stretch_percent: wire.stretch_percent,
+            allowance: wire.allowance,
+            patience_percent: wire.patience_percent,
+        }
     }
 }
 
 impl From<LatencyObjective> for ObjectiveWire {
     fn from(objective: LatencyObjective) -> Self {
-        Self { stretch_percent: objective.stretch_percent, allowance: objective.allowance }
+        Self {
+            stretch_percent: objective.stretch_percent,
+            allowance: objective.allowance,
+            patience_percent: objective.patience_percent,
+        }
     }
 }
 
