--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -141,6 +141,8 @@
     tickets: HashMap<u64, SubmissionId>,
     dues: BTreeSet<(Duration, SubmissionId)>,
     claim_dues: BTreeSet<(Duration, SubmissionId)>,
+    /// Times after which the answer to a job is of no use.
+    patience_dues: BTreeSet<(Duration, SubmissionId)>,
     asks: BTreeSet<(Duration, TaskId)>,
     kept: HashMap<ClaimKey, KeptAnswer>,
     team_open: HashMap<TeamName, u32>,
@@ -180,6 +182,7 @@
             tickets: HashMap::new(),
             dues: BTreeSet::new(),
             claim_dues: BTreeSet::new(),
+            patience_dues: BTreeSet::new(),
             asks: BTreeSet::new(),
             kept: HashMap::new(),
             team_open: HashMap::new(),
--- a/crates/core/src/entry/ending.rs
+++ b/crates/core/src/entry/ending.rs
@@ -1,5 +1,6 @@
 //! Endings: how a job is answered, and what it frees.
 
+use super::admit::millis;
 use super::{AccountSubject, EntryAction, EntryMachine, KeptAnswer};
 use crate::claim::{ClaimKey, ClaimStep};
 use crate::error::{ErrorKind, JobError, RefusalFigures};
@@ -104,6 +105,9 @@
     pub(super) fn remove_job(&mut self, id: SubmissionId) -> Option<HeldJob> {
         let job = self.jobs.remove(&id)?;
         self.dues.remove(&(job.due, id));
+        if let Some(due) = job.useless_at() {
+            self.patience_dues.remove(&(due, id));
+        }
         self.held_tasks -= job.tasks.len();
         if let Some(open) = self.team_open.get_mut(&job.team) {
             *open = open.saturating_sub(job.task_count());
@@ -159,6 +163,21 @@
         }
     }
 
+    /// Refuses every job that waited until its answer would be of no use without a single start.
+    pub(super) fn end_impatient(&mut self, now: Moment) {
+        while let Some(&(due, id)) = self.patience_dues.first() {
+            if due > now.elapsed {
+                return;
+            }
+            self.patience_dues.pop_first();
+            let Some(job) = self.jobs.get(&id).filter(|job| job.is_not_run()) else { continue };
+            let allowed = millis(due.saturating_sub(job.arrived));
+            let waited = millis(now.elapsed.saturating_sub(job.arrived));
+            let figures = RefusalFigures::new("patience_ms", allowed, waited);
+            self.end_failed(id, ErrorKind::Overloaded, figures, now);
+        }
+    }
+
     /// Ends every job whose claim the log did not confirm in time.
     pub(super) fn end_unclaimed(&mut self, now: Moment) {
         while let Some(&(due, id)) = self.claim_dues.first() {
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -262,6 +262,11 @@
         }
     }
 
+    /// Time after which its answer is of no use, where its requests say so.
+    pub fn useless_at(&self) -> Option<Duration> {
+        self.patience.map(|patience| self.arrived + patience.useless_after)
+    }
+
     /// Moves the job to `band`.
     pub fn set_band(&mut self, band: JobBand) {
         self.band = band;
--- a/crates/core/tests/session/desk.rs
+++ b/crates/core/tests/session/desk.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use parsleyspool_core::claim::ClaimStep;
 use parsleyspool_core::config::{
-    ChangeRecord, ConfigChange, ConfigLedger, ConfigRecord, DomainOrder, RequestRule, ServiceSpec,
-    TeamQuota,
+    ChangeRecord, ConfigChange, ConfigLedger, ConfigRecord, DomainOrder, LatencyObjective,
+    RequestRule, ServiceSpec, TeamQuota,
 };
 use parsleyspool_core::directory::ServerReport;
 use parsleyspool_core::entry::{
@@ -54,6 +54,15 @@
     }
 }
 
+/// Answers are wanted within 150 ms and of no use after 300 ms, for tasks of 100 ms.
+fn objective() -> LatencyObjective {
+    LatencyObjective {
+        stretch_percent: 100,
+        allowance: Duration::from_millis(50),
+        patience_percent: 200,
+    }
+}
+
 impl SessionDesk {
     /// Entry with a service of three kinds of request and servers of four slots, each in a failure
     /// domain of its own.
@@ -121,6 +130,7 @@
             ("look".into(), rule(true, 1)),
             ("redeem".into(), rule(false, 1)),
             ("wide".into(), rule(true, 9)),
+            ("urgent".into(), RequestRule { objective: Some(objective()), ..rule(true, 1) }),
             ("again".into(), RequestRule { attempts: 3, ..rule(true, 1) }),
         ]);
         let spec = ServiceSpec { team: "t".into(), deadline: Duration::from_secs(10), requests };
--- a/crates/core/tests/session/main.rs
+++ b/crates/core/tests/session/main.rs
@@ -223,3 +223,17 @@
 
     insta::assert_snapshot!(desk.story());
 }
+
+#[test]
+fn a_job_that_no_server_took_while_its_answer_was_of_use_is_refused_at_once() {
+    let mut desk = SessionDesk::leased(&["a"]);
+
+    desk.submit(1, "urgent", 4);
+    desk.submit(2, "urgent", 1);
+    desk.pass_ms(200);
+    desk.submit(3, "urgent", 1);
+    desk.pass_ms(150);
+    desk.answer_task(1, 0);
+
+    insta::assert_snapshot!(desk.story());
+}
--- a/crates/daemon/src/recorder.rs
+++ b/crates/daemon/src/recorder.rs
@@ -7,6 +7,7 @@
 use parsleyspool_core::timeline::{EventKind, EventRing, TimelineEvent};
 use parsleyspool_wire::operator::TimelineBody;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 /// Records events in the ring, the log and the metrics.
 #[derive(Debug)]
@@ -20,6 +21,7 @@
 struct RecorderState {
     hybrid: HybridClock,
     ring: EventRing,
+    lines: LineBudget,
 }
 
 impl EventRecorder {
@@ -31,7 +33,11 @@
         metrics: Arc<DaemonMetrics>,
     ) -> Self {
         let ring = EventRing::new(capacity, incarnation);
-        let state = Mutex::new(RecorderState { hybrid: HybridClock::default(), ring });
+        let state = Mutex::new(RecorderState {
+            hybrid: HybridClock::default(),
+            ring,
+            lines: LineBudget::default(),
+        });
         Self { state, clock, metrics }
     }
 
@@ -42,9 +48,11 @@
     /// Records `event` as of now.
     pub fn record(&self, event: TimelineEvent) {
         self.metrics.count_event(event.kind);
-        write_line(&event);
         let now = self.clock.now();
         let mut state = self.state();
+        if state.lines.admit(now.elapsed) {
+            write_line(&event);
+        }
         let stamp = state.hybrid.tick(now);
         state.ring.push(TimelineEvent { stamp, ..event });
     }
@@ -72,22 +80,45 @@
     use EventKind as K;
     matches!(
         kind,
-        K::JobAdmitted
-            | K::JobComplete
+        K::JobComplete
             | K::ClaimSent
             | K::ClaimWon
             | K::TaskSent
             | K::TaskAsked
-            | K::TaskReturned
             | K::TaskAnswered
             | K::AgentQueued
             | K::AgentStarted
-            | K::AgentStopped
             | K::AgentFinished
-            | K::AgentRefused
     )
 }
 
+/// Lines written in one second, so that a storm of events does not become one of lines.
+#[derive(Debug, Default)]
+struct LineBudget {
+    second: u64,
+    written: u32,
+    left_out: u64,
+}
+
+/// Lines of events that a process writes in one second at most.
+const LINES_PER_SECOND: u32 = 1000;
+
+impl LineBudget {
+    /// Whether a line may be written at `now`; says once a second how many were left out.
+    fn admit(&mut self, now: Duration) -> bool {
+        if self.second != now.as_secs() {
+            if self.left_out > 0 {
+                tracing::warn!(event = "lines_left_out", count = self.left_out);
+            }
+            *self = Self { second: now.as_secs(), written: 0, left_out: 0 };
+        }
+        let may_write = self.written < LINES_PER_SECOND;
+        self.written += u32::from(may_write);
+        self.left_out += u64::from(!may_write);
+        may_write
+    }
+}
+
 fn write_line(event: &TimelineEvent) {
     let is_detail = is_detail(event.kind);
     if is_detail && !tracing::enabled!(tracing::Level::DEBUG) {
--- a/crates/daemon/src/telemetry/logging.rs
+++ b/crates/daemon/src/telemetry/logging.rs
@@ -1,7 +1,12 @@
-//! Structured logs: one line of key=value pairs for each event, on standard error.
+//! Structured logs: one line of key=value pairs for each event, on standard output.
+//!
+//! A thread of its own writes the lines, so that a reader who stops reading never holds the process
+//! up; lines that do not fit its queue are dropped and counted.
 
 use crate::error::DaemonError;
 use error_stack::{Report, ResultExt};
+use std::sync::Arc;
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 use tracing_subscriber::{EnvFilter, Registry, reload};
@@ -10,12 +15,17 @@
 #[derive(Debug, Clone)]
 pub struct LogControl {
     handle: Option<reload::Handle<EnvFilter, Registry>>,
+    /// Keeps the writing thread; the last lines are written when it is dropped.
+    _writer: Option<Arc<WorkerGuard>>,
 }
 
+/// Lines that wait to be written at most.
+const LINES_WAITING: usize = 8192;
+
 impl LogControl {
     /// Control of a process whose logs belong to its embedder.
     pub fn detached() -> Self {
-        Self { handle: None }
+        Self { handle: None, _writer: None }
     }
 
     /// Installs the logger of the process with the levels of `filter`.
@@ -26,10 +36,13 @@
         let filter = parse(filter)?;
         let (layer, handle) = reload::Layer::new(filter);
         let lines = tracing_logfmt::builder().with_target(false).layer();
-        let lines = lines.with_writer(std::io::stderr);
+        let writer = NonBlockingBuilder::default().lossy(true);
+        let writer = writer.buffered_lines_limit(LINES_WAITING);
+        let (writer, guard) = writer.finish(std::io::stdout());
+        let lines = lines.with_writer(writer);
         let registry = tracing_subscriber::registry().with(layer).with(lines);
         registry.try_init().change_context(DaemonError::LogFilter)?;
-        Ok(Self { handle: Some(handle) })
+        Ok(Self { handle: Some(handle), _writer: Some(Arc::new(guard)) })
     }
 
     /// Sets other levels.
