Look at the runs twice at once, stop runs that stand still, and prove a start that never happened

A lost look hid the ends of runs for its whole wait; a start that was forbidden in time was called interrupted, so 65 jobs were answered 504 though nothing had run, and servers were set aside for it; a hung run was held until its job's deadline. Ruled out: the order of the queue (the same jobs late with an empty one).

--- a/crates/core/src/directory/server.rs
+++ b/crates/core/src/directory/server.rs
@@ -50,6 +50,8 @@
     pub failure_share: f64,
     /// Results before which nothing is judged.
     pub least_results: u32,
+    /// Failures one after the other from which a server is set aside, whatever went before.
+    pub failures_in_row: u32,
     /// First time aside; it doubles with each failed probe.
     pub first_rest: Duration,
     /// Longest time aside.
@@ -61,6 +63,7 @@
         Self {
             failure_share: 0.5,
             least_results: 5,
+            failures_in_row: u32::MAX,
             first_rest: Duration::from_secs(2),
             longest_rest: Duration::from_secs(60),
         }
@@ -80,6 +83,7 @@
     retired: VecDeque<Incarnation>,
     failures: LearntMean,
     results: u32,
+    in_row: u32,
     pace: LearntMean,
     mean_run_time: LearntMean,
     rest: Duration,
@@ -97,6 +101,7 @@
             retired: VecDeque::new(),
             failures: LearntMean::new(0.0),
             results: 0,
+            in_row: 0,
             pace: LearntMean::new(1.0),
             mean_run_time: LearntMean::new(0.0),
             rest: Duration::ZERO,
@@ -242,6 +247,7 @@
         self.mean_run_time.learn(run_time.as_secs_f64());
         self.results = self.results.saturating_add(1);
         self.failures.learn(0.0);
+        self.in_row = 0;
         if self.advance(ServerEvent::Trust) {
             self.failures = LearntMean::new(0.0);
             self.results = 0;
@@ -253,9 +259,11 @@
     pub fn fail(&mut self, trust: &TrustPolicy, now: Duration) -> bool {
         self.results = self.results.saturating_add(1);
         self.failures.learn(1.0);
+        self.in_row = self.in_row.saturating_add(1);
         let is_probe = self.state == ServerState::Probing;
         let is_bad =
             self.results >= trust.least_results && self.failures.value() > trust.failure_share;
+        let is_bad = is_bad || self.in_row >= trust.failures_in_row;
         if !(is_probe || is_bad) || !self.advance(ServerEvent::Distrust) {
             return false;
         }
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -37,7 +37,10 @@
                 self.finish_task(id, index, answer, run_time, now);
             }
             TaskReply::Failed { run_time } => self.fault_task(id, index, run_time, now),
-            TaskReply::Interrupted => self.interrupt_task(id, index, now),
+            TaskReply::Interrupted => {
+                self.count_failure(index, now);
+                self.interrupt_task(id, index, now);
+            }
             TaskReply::NotStarted(reason) => {
                 self.settle(id, index);
                 self.heed_refusal(index, reason, now);
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -80,11 +80,17 @@
     payload: Bytes,
     phase: RunPhase,
     is_unwanted: bool,
+    /// Whether the worker said that it started it.
+    has_started: bool,
     /// Latest look sent before the worker confirmed that it has the run, or that it will not start
     /// it any more; only a later one shows whether it runs.
     settled_after: Option<HoldNumber>,
     /// Whether a start may still be carried out.
     is_start_open: bool,
+    /// Share of its work that was done when it last moved on, in percent.
+    percent: u8,
+    /// When it was first seen at that share.
+    moved_at: Option<Duration>,
 }
 
 /// Runs of one server.
@@ -252,8 +258,11 @@
             payload: order.payload,
             phase: RunPhase::Starting,
             is_unwanted: false,
+            has_started: false,
             settled_after: None,
             is_start_open: false,
+            percent: 0,
+            moved_at: None,
         };
         self.runs.insert(task, run);
         self.send_start(task, now);
@@ -309,6 +318,7 @@
             return;
         }
         run.phase = RunPhase::Running;
+        run.has_started = true;
         run.settled_after = Some(self.next_hold);
         if run.is_unwanted {
             self.stop(task);
@@ -414,14 +424,16 @@
         }));
     }
 
-    /// Keeps one look under way while something runs or an end was not told of.
+    /// Keeps looks under way while something runs or an end was not told of.
     fn look_on(&mut self, now: Moment) {
         let Some(present) = &self.present else { return };
         let is_open = matches!(present.phase, LifePhase::Greeting | LifePhase::Clearing)
             || !self.runs.is_empty()
             || present.told < present.last_seen;
-        if present.holds.is_empty() && is_open {
-            let is_greeting = present.phase == LifePhase::Greeting;
+        let wanted = if self.runs.is_empty() { 1 } else { self.limits.looks.max(1) };
+        let is_greeting = present.phase == LifePhase::Greeting;
+        let missing = wanted.saturating_sub(present.holds.len());
+        for _ in 0..if is_open { missing } else { 0 } {
             self.look(if is_greeting { Duration::ZERO } else { self.limits.renewal }, now);
         }
     }
@@ -455,6 +467,7 @@
             self.take_end(&row);
         }
         self.stop_strays(&listing.running);
+        self.stop_stalled(&listing.running, now);
         if has_all_ends {
             self.end_vanished(&listing.running, asked);
         }
@@ -488,6 +501,23 @@
         }
     }
 
+    /// Stops the runs that have not moved on for long.
+    fn stop_stalled(&mut self, running: &[RunningRow], now: Moment) {
+        for row in running {
+            let Some(&task) = self.tasks.get(&row.key) else { continue };
+            let Some(run) = self.runs.get_mut(&task) else { continue };
+            let is_moving = row.percent != run.percent;
+            run.has_started = true;
+            let moved_at = *run.moved_at.get_or_insert(now.elapsed);
+            if is_moving {
+                run.percent = row.percent;
+                run.moved_at = Some(now.elapsed);
+            } else if now.elapsed.saturating_sub(moved_at) >= self.limits.stall {
+                self.stop(task);
+            }
+        }
+    }
+
     /// Ends the runs that were started or stopped before the look and that it does not show: their
     /// start was forbidden in time, or they were part of an earlier life of the server.
     fn end_vanished(&mut self, running: &[RunningRow], asked: HoldNumber) {
@@ -499,7 +529,10 @@
         let mut over: Vec<TaskId> = over.map(|(task, _)| *task).collect();
         over.sort_unstable();
         for task in over {
-            self.finish(task, RunResult::Interrupted);
+            let has_started = self.runs.get(&task).is_some_and(|run| run.has_started);
+            // The end of a run that started would be listed.
+            let never = RunResult::Refused(NotStartedReason::NeverReceived);
+            self.finish(task, if has_started { RunResult::Interrupted } else { never });
         }
     }
 
--- a/crates/core/src/run/event.rs
+++ b/crates/core/src/run/event.rs
@@ -16,6 +16,10 @@
     pub lease: Duration,
     /// Longest wait of one look, which also renews the lease.
     pub renewal: Duration,
+    /// Looks under way at once while something runs, so that one may be lost.
+    pub looks: usize,
+    /// Time without progress after which a run counts as hung; several looks.
+    pub stall: Duration,
     /// How long the number of a task's latest run is kept; longer than any order is under way.
     pub numbers_kept: Duration,
 }
@@ -25,6 +29,8 @@
         Self {
             lease: Duration::from_millis(700),
             renewal: Duration::from_millis(200),
+            looks: 1,
+            stall: Duration::from_millis(500),
             numbers_kept: Duration::from_secs(30),
         }
     }
--- a/crates/core/tests/runs/main.rs
+++ b/crates/core/tests/runs/main.rs
@@ -131,3 +131,19 @@
 
     insta::assert_snapshot!(desk.story());
 }
+
+#[test]
+fn a_run_that_does_not_move_on_is_stopped() {
+    let mut desk = RunDesk::settled();
+
+    desk.run(0);
+    desk.answer_start(key(0, 1), StartAnswer::Started);
+    for _ in 0..4 {
+        desk.pass_ms(200);
+        desk.list(&[key(0, 1)], &[]);
+    }
+    desk.answer_stop(key(0, 1), StopAnswer::Confirmed);
+    desk.list(&[], &[(1, key(0, 1), RunEnd::Interrupted)]);
+
+    insta::assert_snapshot!(desk.story());
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -168,6 +168,8 @@
     pub sample: usize,
     /// Share of failures above which a backend server is set aside.
     pub failure_share: f64,
+    /// Failures one after the other from which a backend server is set aside.
+    pub failures_in_row: u32,
     /// Records after which the configuration is republished.
     pub snapshot_records: u64,
     /// Placement policy.
@@ -205,6 +207,7 @@
             forget_after: limits.directory.forget_after,
             sample: limits.directory.sample,
             failure_share: limits.directory.trust.failure_share,
+            failures_in_row: limits.directory.trust.failures_in_row,
             snapshot_records: limits.snapshot_records,
             placement: "earliest_finish".to_owned(),
         }
@@ -259,11 +262,23 @@
     /// Time between two renewals.
     #[serde(with = "humantime_serde")]
     pub renewal: Duration,
+    /// Looks under way at once.
+    #[serde(default = "default_looks")]
+    pub looks: usize,
+}
+
+fn default_looks() -> usize {
+    1
 }
 
 impl From<&RunSettings> for RunLimits {
     fn from(settings: &RunSettings) -> Self {
-        Self { lease: settings.lease, renewal: settings.renewal, ..Self::default() }
+        Self {
+            lease: settings.lease,
+            renewal: settings.renewal,
+            looks: settings.looks,
+            ..Self::default()
+        }
     }
 }
 
@@ -416,7 +431,11 @@
     pub fn entry_limits(&self) -> EntryLimits {
         let limits = &self.limits;
         let defaults = EntryLimits::default();
-        let trust = TrustPolicy { failure_share: limits.failure_share, ..TrustPolicy::default() };
+        let trust = TrustPolicy {
+            failure_share: limits.failure_share,
+            failures_in_row: limits.failures_in_row,
+            ..TrustPolicy::default()
+        };
         EntryLimits {
             tasks_per_job: limits.tasks_per_job,
             tasks_held: limits.tasks_held,
--- a/crates/daemon/src/settings/reference.rs
+++ b/crates/daemon/src/settings/reference.rs
@@ -19,7 +19,7 @@
 }
 
 /// Every key of both kinds of file.
-pub const SETTING_TABLE: [SettingRow; 67] = [
+pub const SETTING_TABLE: [SettingRow; 69] = [
     row("entry.name", "text", "name of the entry, kept over replacements"),
     row("entry.domain", "text", "failure domain of the entry"),
     row("entry.rank", "number", "position among the entries, to keep them out of step"),
@@ -59,6 +59,7 @@
     row("entry.limits.forget_after", "duration", "silence after which a server is forgotten"),
     row("entry.limits.sample", "servers", "backend servers looked at for one placement"),
     row("entry.limits.failure_share", "ratio", "failures above which a server is set aside"),
+    row("entry.limits.failures_in_row", "failures", "in a row from which a server is set aside"),
     row("entry.limits.snapshot_records", "records", "records after which state is republished"),
     row("entry.limits.placement", "name", "placement policy"),
     row("entry.telemetry.filter", "filter", "log filter at the start"),
@@ -73,6 +74,7 @@
     row("agent.seeds", "list of ip:port", "peer listeners of entries without a name"),
     row("agent.runs.lease", "duration", "lease that each call to the worker gives to all runs"),
     row("agent.runs.renewal", "duration", "time between two renewals of that lease"),
+    row("agent.runs.looks", "number", "looks at the worker under way at once"),
     row("agent.backend.url", "URL", "where the backend server takes tasks"),
     row("agent.backend.worker_url", "URL", "the worker, where it can stop running tasks"),
     row("agent.backend.services", "list of text", "services that it offers"),
