Take no work for a server that answers nothing, and give back what waits for it

Ruled out: the server set aside for failures (side-gt-central-d-2, in time, after four in a row). Change: after 0.45 s without any answer while answers are owed the agent refuses starts, returns what waits and says that it is leaving; looks go on until one is answered. What may still be carried out late stays held: a start without an answer ends only with a confirmed stop or a new life of the server.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -66,6 +66,7 @@
     leases: HashMap<Incarnation, Duration>,
     is_server_leaving: bool,
     is_withdrawn: bool,
+    is_server_silent: bool,
     by_entry: HashMap<EntryName, u32>,
     memory: OutcomeMemory,
     is_draining: bool,
@@ -90,6 +91,7 @@
             leases: HashMap::new(),
             is_server_leaving: false,
             is_withdrawn: limits.whole == ServerRoom::default(),
+            is_server_silent: false,
             by_entry: HashMap::new(),
             memory: OutcomeMemory::new(&limits),
             is_draining: false,
@@ -107,6 +109,8 @@
             AgentEvent::Finished { task, result } => self.finish(task, result, now),
             AgentEvent::Directive { directive, sent } => self.direct(&directive, sent, now),
             AgentEvent::Offer(offer) => self.take_offer(offer, now),
+            AgentEvent::ServerSilent => self.note_silence(true, now),
+            AgentEvent::ServerHeard => self.note_silence(false, now),
             AgentEvent::Withdrawn => self.withdraw(now),
             AgentEvent::Tick => self.tick(now),
             AgentEvent::Drain => self.drain(now),
@@ -149,7 +153,7 @@
 
     /// Whether the backend server takes no new work.
     pub fn is_leaving(&self) -> bool {
-        self.is_draining || self.known.is_leaving || self.is_server_leaving
+        self.is_draining || self.known.is_leaving || self.is_server_leaving || self.is_server_silent
     }
 
     /// Whether a planned stop has nothing left to finish.
@@ -232,6 +236,9 @@
         if self.is_draining || self.is_server_leaving || self.is_withdrawn {
             return Some(NotStartedReason::Leaving);
         }
+        if self.is_server_silent {
+            return Some(NotStartedReason::NoConnection);
+        }
         if now.elapsed >= order.start_before {
             return Some(NotStartedReason::TooLate);
         }
@@ -435,6 +442,12 @@
         self.recheck(now);
     }
 
+    /// Gives back what waits for a server that does not answer, and takes no more.
+    fn note_silence(&mut self, is_silent: bool, now: Moment) {
+        self.is_server_silent = is_silent;
+        self.recheck(now);
+    }
+
     fn withdraw(&mut self, now: Moment) {
         self.is_withdrawn = true;
         self.recheck(now);
--- a/crates/core/src/agent/event.rs
+++ b/crates/core/src/agent/event.rs
@@ -103,6 +103,10 @@
     },
     /// The backend server announces what it has.
     Offer(ServerOffer),
+    /// The backend server answers nothing any more.
+    ServerSilent,
+    /// The backend server answers again.
+    ServerHeard,
     /// The backend server is gone, or its state is not known yet.
     Withdrawn,
     /// Time passed.
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -106,6 +106,9 @@
     tasks: HashMap<RunKey, TaskId>,
     numbers: HashMap<RunName, (RunNumber, Duration)>,
     next_hold: HoldNumber,
+    /// Latest answer of the server, or the latest time at which none was owed.
+    answered_at: Duration,
+    is_silent: bool,
     actions: Vec<RunAction>,
 }
 
@@ -121,6 +124,8 @@
             tasks: HashMap::new(),
             numbers: HashMap::new(),
             next_hold: 0,
+            answered_at: Duration::ZERO,
+            is_silent: false,
             actions: Vec::new(),
         }
     }
@@ -302,7 +307,30 @@
         self.actions.push(RunAction::Stop(call));
     }
 
+    /// Takes note of an answer, or that none was owed.
+    fn hear(&mut self, now: Moment) {
+        self.answered_at = now.elapsed;
+        if std::mem::take(&mut self.is_silent) {
+            self.actions.push(RunAction::Heard);
+        }
+    }
+
+    /// Takes note of a server that owes answers for long.
+    fn judge_silence(&mut self, now: Moment) {
+        if self.runs.is_empty() && !self.is_silent {
+            self.answered_at = now.elapsed;
+        }
+        let silence = now.elapsed.saturating_sub(self.answered_at);
+        if !self.is_silent && silence >= self.limits.silence {
+            self.is_silent = true;
+            self.actions.push(RunAction::Silent);
+        }
+    }
+
     fn take_start(&mut self, key: &RunKey, answer: StartAnswer, now: Moment) {
+        if answer != StartAnswer::Unanswered {
+            self.hear(now);
+        }
         let Some(&task) = self.tasks.get(key) else { return };
         match answer {
             StartAnswer::Started => self.note_started(task),
@@ -368,6 +396,9 @@
     }
 
     fn take_stop(&mut self, key: &RunKey, answer: StopAnswer, now: Moment) {
+        if answer != StopAnswer::Unanswered {
+            self.hear(now);
+        }
         match answer {
             StopAnswer::Confirmed => self.confirm_stop(key, now),
             StopAnswer::Fenced => {
@@ -429,6 +460,7 @@
         let Some(present) = &self.present else { return };
         let is_open = matches!(present.phase, LifePhase::Greeting | LifePhase::Clearing)
             || !self.runs.is_empty()
+            || self.is_silent
             || present.told < present.last_seen;
         let wanted = if self.runs.is_empty() { 1 } else { self.limits.looks.max(1) };
         let is_greeting = present.phase == LifePhase::Greeting;
@@ -439,6 +471,9 @@
     }
 
     fn take_hold(&mut self, number: HoldNumber, answer: HoldAnswer, now: Moment) {
+        if answer != HoldAnswer::Unanswered {
+            self.hear(now);
+        }
         let Some(present) = &mut self.present else { return };
         if !present.holds.remove(&number) {
             return;
@@ -562,6 +597,7 @@
             self.end_lapsed();
             self.end_parted(now);
         }
+        self.judge_silence(now);
     }
 
     fn end_parted(&mut self, now: Moment) {
--- a/crates/core/src/run/event.rs
+++ b/crates/core/src/run/event.rs
@@ -18,6 +18,8 @@
     pub renewal: Duration,
     /// Looks under way at once while something runs, so that one may be lost.
     pub looks: usize,
+    /// Time without any answer, while looks are under way, after which the server counts as silent.
+    pub silence: Duration,
     /// Time without progress after which a run counts as hung; several looks.
     pub stall: Duration,
     /// How long the number of a task's latest run is kept; longer than any order is under way.
@@ -30,6 +32,7 @@
             lease: Duration::from_millis(700),
             renewal: Duration::from_millis(200),
             looks: 1,
+            silence: Duration::from_millis(450),
             stall: Duration::from_millis(500),
             numbers_kept: Duration::from_secs(30),
         }
@@ -95,6 +98,10 @@
     },
     /// Nothing runs in this life but what was started here.
     Settled(ServerLife),
+    /// The server answers nothing any more; what it has is not known to have ended.
+    Silent,
+    /// It answers again.
+    Heard,
     /// The life is over, and all its runs with it.
     LifeOver(ServerLife),
 }
--- a/crates/core/tests/leases.rs
+++ b/crates/core/tests/leases.rs
@@ -169,6 +169,26 @@
     assert_eq!(replies(&answer), [TaskReply::Pending]);
 }
 
+#[test]
+fn what_waits_for_a_silent_server_is_given_back_and_nothing_more_is_taken() {
+    let mut agent = leased_agent();
+    renew(&mut agent, 0);
+    let whole = ServerRoom { slots: 4, memory_mb: 10, accelerators: 0 };
+    start(&mut agent, order(0, 1, whole), 10);
+    start(&mut agent, order(1, 1, one_slot()), 20);
+
+    let returned = agent.handle(AgentEvent::ServerSilent, at(500));
+    let refused = start(&mut agent, order(2, 1, one_slot()), 510);
+    let was_leaving = agent.is_leaving();
+    agent.handle(AgentEvent::ServerHeard, at(600));
+
+    let no_connection = TaskReply::NotStarted(NotStartedReason::NoConnection);
+    assert_eq!(replies(&returned), [no_connection.clone()]);
+    assert_eq!(replies(&refused), [no_connection]);
+    assert!(was_leaving);
+    assert!(!agent.is_leaving());
+}
+
 #[test]
 fn the_longest_prefix_at_the_host_is_the_route() {
     let rule = |host: &str, prefix: &str, request: &str| RouteRule {
--- a/crates/core/tests/runs/desk.rs
+++ b/crates/core/tests/runs/desk.rs
@@ -89,6 +89,8 @@
             }
             RunAction::Finished { task, result } => format!("finished {} {result:?}", task.index),
             RunAction::Settled(life) => format!("settled {}", life.server),
+            RunAction::Silent => "silent".to_owned(),
+            RunAction::Heard => "heard".to_owned(),
             RunAction::LifeOver(life) => format!("life over {}", life.server),
         };
         let _ = writeln!(self.story, "  {line}");
--- a/crates/daemon/src/agent/runs.rs
+++ b/crates/daemon/src/agent/runs.rs
@@ -72,9 +72,22 @@
                 self.offer(&life, address);
             }
             RunAction::LifeOver(life) => self.withdraw(&life, address),
+            RunAction::Silent => self.note_server(AgentEvent::ServerSilent, address),
+            RunAction::Heard => self.note_server(AgentEvent::ServerHeard, address),
         }
     }
 
+    /// Takes note that the server fell silent or answers again, and tells the entries at once.
+    fn note_server(&mut self, event: AgentEvent, address: &WeakAddress<Self>) {
+        if matches!(event, AgentEvent::ServerSilent) {
+            tracing::warn!(event = "dependency_lost", dependency = "server");
+        } else {
+            tracing::info!(event = "dependency_regained", dependency = "server");
+        }
+        self.decide(event, None, address);
+        self.shared.beat.notify_waiters();
+    }
+
     /// Offers the server to entries, once nothing of an earlier time runs there.
     fn offer(&mut self, life: &ServerLife, address: &WeakAddress<Self>) {
         let Some(desk) = &self.runs else { return };
