End what waited over the end of a lease before renewing it, and permit no start beyond it

The entry took its runs for ended and started the task elsewhere; on waking, the agent's next heartbeat renewed the lease before the tick that would have dropped the waiting start, and a start in its buffers was permitted for 3 s after its sending. Ruled out: the worker's lease (no run lapsed), a late order (no unanswered start). Change: the lease's end is heeded before its renewal, and a permit ends with the lease of the latest heartbeat that was answered. Test first: a_task_that_waited_over_the_end_of_the_lease_is_not_started_after_its_renewal.

--- a/crates/cli/tests/processes/deployment.rs
+++ b/crates/cli/tests/processes/deployment.rs
@@ -115,9 +115,9 @@
         std::fs::write(&path, settings).expect("settings can be written");
         let mut command = Command::new(PROGRAM);
         command.arg(role).arg("--settings").arg(&path);
-        command.stdout(Stdio::null()).stderr(Stdio::piped());
+        command.stdout(Stdio::piped()).stderr(Stdio::null());
         let mut child = command.spawn().expect("the program starts");
-        let mut lines = BufReader::new(child.stderr.take().expect("a pipe")).lines();
+        let mut lines = BufReader::new(child.stdout.take().expect("a pipe")).lines();
         let is_listening = |line: &String| line.contains("event=listening");
         let listening = lines.by_ref().map_while(Result::ok).find(is_listening);
         let listening = listening.expect("the process says where it listens");
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -12,14 +12,14 @@
 //! is longer ago than outcomes are kept, the agent cannot tell a start never received from one
 //! forgotten, and says that the outcome is lost.
 
+mod answer;
 mod event;
 mod memory;
+mod server;
 
 pub use event::{AgentAction, AgentEvent, AgentLimits, RunResult, ServerOffer};
 
-use crate::entry::{
-    AgentDirective, LoadReport, NotStartedReason, SentStart, StartOrder, TaskReply,
-};
+use crate::entry::{AgentDirective, LoadReport, NotStartedReason, StartOrder, TaskReply};
 use crate::id::{EntryName, Incarnation, TaskId, Version, incarnation_of};
 use crate::room::ServerRoom;
 use crate::time::Moment;
@@ -266,14 +266,6 @@
         self.actions.push(AgentAction::Respond { reply, load });
     }
 
-    /// Answers a start meant for another incarnation, which may have received a copy of it.
-    fn disown(&mut self, task: TaskId, entry: &str) {
-        let reason = EventFigure::Why(NotStartedReason::OtherIncarnation);
-        self.note(EventKind::AgentRefused, task, &[reason]);
-        let load = self.load_for(entry);
-        self.actions.push(AgentAction::Respond { reply: TaskReply::Lost, load });
-    }
-
     /// Starts what waits while slots are free.
     fn run_next(&mut self, now: Moment) {
         while let Some(&(rank, task)) = self.queue.first() {
@@ -349,112 +341,10 @@
         self.actions.push(AgentAction::Reply { task, reply, load });
     }
 
-    fn ask(&mut self, entry: &str, asked: SentStart, sent_at: Duration, now: Moment) {
-        let task = asked.task;
-        if asked.incarnation == self.incarnation && self.held.contains_key(&task) {
-            self.actions.push(AgentAction::Wait { task });
-            return;
-        }
-        let reply = self.recall(asked, sent_at, now);
-        let load = self.load_for(entry);
-        self.actions.push(AgentAction::Respond { reply, load });
-    }
-
-    /// What became of a start that is not held.
-    fn recall(&mut self, asked: SentStart, sent_at: Duration, now: Moment) -> TaskReply {
-        if asked.incarnation != self.incarnation {
-            // Runs of an earlier incarnation may last until the server is known.
-            return if self.is_withdrawn { TaskReply::Pending } else { TaskReply::Lost };
-        }
-        match self.memory.get(asked.task) {
-            Some(kept) if matches!(kept.reply, TaskReply::Done { .. }) => kept.reply.clone(),
-            Some(kept) if kept.attempt >= asked.attempt => kept.reply.clone(),
-            _ if now.elapsed >= sent_at + self.limits.outcome_kept => TaskReply::Lost,
-            _ => self.forbid(asked, now),
-        }
-    }
-
-    /// Promises never to start what was not received.
-    fn forbid(&mut self, asked: SentStart, now: Moment) -> TaskReply {
-        let reason = NotStartedReason::NeverReceived;
-        self.note(EventKind::AgentRefused, asked.task, &[EventFigure::Why(reason)]);
-        let reply = TaskReply::NotStarted(reason);
-        self.memory.keep(asked.task, asked.attempt, reply.clone(), now.elapsed);
-        reply
-    }
-
-    fn cancel(&mut self, task: TaskId, now: Moment) {
-        let Some(held) = self.held.get(&task) else {
-            self.forbid_all(task, now);
-            return;
-        };
-        if held.started.is_none() {
-            self.give_back(task, NotStartedReason::Cancelled, now);
-            self.run_next(now);
-        } else if held.order.may_stop {
-            self.stop(task);
-        }
-    }
-
-    fn stop(&mut self, task: TaskId) {
-        self.note(EventKind::AgentStopped, task, &[]);
-        self.actions.push(AgentAction::Stop { task });
-    }
-
-    /// Refuses every start of a cancelled task that is still under way.
-    fn forbid_all(&mut self, task: TaskId, now: Moment) {
-        let is_given_back = |reply: &TaskReply| matches!(reply, TaskReply::NotStarted(_));
-        let is_open = self.memory.get(task).is_none_or(|kept| is_given_back(&kept.reply));
-        if is_open && !self.memory.is_full() {
-            let reply = TaskReply::NotStarted(NotStartedReason::Cancelled);
-            self.memory.keep(task, u32::MAX, reply, now.elapsed);
-        }
-    }
-
-    /// Whether the entry of `task` was not heard from for so long that its tasks must not run.
-    fn is_unleased(&self, task: TaskId, now: Moment) -> bool {
-        let lease = self.leases.get(&entry_of(task));
-        self.limits.is_leased && lease.is_none_or(|&until| until <= now.elapsed)
-    }
-
-    /// Ends the tasks of every entry whose lease ran out.
-    fn end_unleased(&mut self, now: Moment) {
-        let held = self.held.iter();
-        let unleased = held.filter(|(task, _)| self.is_unleased(**task, now));
-        let mut tasks: Vec<TaskId> = unleased.map(|(task, _)| *task).collect();
-        tasks.sort_unstable();
-        for task in tasks {
-            let Some(held) = self.held.get_mut(&task) else { continue };
-            if held.started.is_none() {
-                self.give_back(task, NotStartedReason::PermitLapsed, now);
-            } else if held.order.may_stop && !std::mem::replace(&mut held.is_stopping, true) {
-                self.stop(task);
-            }
-        }
-        let kept = self.limits.outcome_kept;
-        self.leases.retain(|_, until| *until + kept > now.elapsed);
-    }
-
-    fn take_offer(&mut self, offer: ServerOffer, now: Moment) {
-        self.limits.whole = offer.whole;
-        self.is_server_leaving = offer.is_leaving;
-        self.is_withdrawn = false;
-        self.recheck(now);
-    }
-
-    /// Gives back what waits for a server that does not answer, and takes no more.
-    fn note_silence(&mut self, is_silent: bool, now: Moment) {
-        self.is_server_silent = is_silent;
-        self.recheck(now);
-    }
-
-    fn withdraw(&mut self, now: Moment) {
-        self.is_withdrawn = true;
-        self.recheck(now);
-    }
-
     fn direct(&mut self, directive: &AgentDirective, sent: Duration, now: Moment) {
         if let Some(lease) = directive.run_lease {
+            // What an entry had here while its lease was over is taken for ended by the entry.
+            self.end_unleased(now);
             let until = self.leases.entry(directive.entry).or_default();
             *until = (*until).max(sent + lease);
         }
--- a/crates/core/src/directory/server.rs
+++ b/crates/core/src/directory/server.rs
@@ -228,6 +228,13 @@
         (self.report.clock + ahead).saturating_sub(behind)
     }
 
+    /// End of a permit up to `until`, on the clock of the agent; never after the lease that the
+    /// answer to its latest heartbeat gave, since then its runs are taken for ended.
+    pub fn permit(&self, until: Duration, run_lease: Option<Duration>) -> Duration {
+        let permit = self.agent_time(until);
+        run_lease.map_or(permit, |lease| permit.min(self.report.clock + lease))
+    }
+
     /// Counts the slots of an own task sent.
     pub fn send(&mut self, slots: u32) {
         self.own += slots;
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -17,9 +17,11 @@
 mod estimate;
 mod event;
 mod exchange;
+mod key;
 mod limits;
 mod outcome;
 mod pace;
+mod patience;
 
 pub use action::EntryAction;
 pub use event::{BrokenReach, EntryEvent, StreamRead};
--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -1,11 +1,11 @@
 //! Admission: which jobs an entry takes.
 
 use super::{AccountSubject, EntryAction, EntryMachine, EntryPhase};
-use crate::claim::{ClaimKey, ClaimStep, claim_key, content_digest};
+use crate::claim::{ClaimKey, ClaimStep, content_digest};
 use crate::config::{Configuration, ServiceSpec};
 use crate::error::{ErrorKind, JobError, RefusalFigures};
 use crate::id::{SubmissionId, submission_id};
-use crate::job::{HeldJob, JobAnswer, JobPatience, JobRequest};
+use crate::job::{HeldJob, JobAnswer, JobRequest};
 use crate::lifecycle::{JobEvent, ServerState};
 use crate::room::ServerRoom;
 use crate::time::Moment;
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// What to do with a job that arrived.
-enum Admission {
+pub(super) enum Admission {
     /// Queue its tasks.
     Admit,
     /// Claim its key first.
@@ -27,7 +27,7 @@
 }
 
 /// Lead of a caller's clock that is let pass.
-const CLOCK_LEAD: Duration = Duration::from_secs(5);
+pub(super) const CLOCK_LEAD: Duration = Duration::from_secs(5);
 
 impl EntryMachine {
     pub(super) fn submit(&mut self, ticket: u64, request: JobRequest, now: Moment) {
@@ -44,32 +44,6 @@
         }
     }
 
-    /// The same error, without the statement that the request was not run where an earlier
-    /// submission of it may have run.
-    fn proven(&self, request: &JobRequest, error: JobError, now: Moment) -> JobError {
-        let spec = find_spec(self.ledger.configuration(), request);
-        let is_idempotent = spec.is_ok_and(|spec| is_idempotent(spec, request));
-        let Some(created) = request.created.filter(|_| !is_idempotent) else { return error };
-        let key = claim_key(&request.team, &request.service, &request.job, created);
-        let not_run = error.not_run && self.is_key_clear(key, None, now);
-        JobError { not_run, ..error }
-    }
-
-    /// Whether no submission but `own` can have run under `key`, as of the last claims read.
-    ///
-    /// A submission starts only after its claim stands in the log, so a read that reached the end
-    /// of the claims without finding one proves that none started before.
-    pub(super) fn is_key_clear(
-        &self,
-        key: ClaimKey,
-        own: Option<SubmissionId>,
-        now: Moment,
-    ) -> bool {
-        let is_read = self.claims_read.is_some_and(|at| at + self.limits.lease > now.elapsed);
-        let holder = self.claims.holder(key);
-        holder.map_or(is_read, |holder| Some(holder) == own)
-    }
-
     pub(super) fn refuse_malformed(&mut self, ticket: u64, error: JobError, now: Moment) {
         let id = self.next_id();
         let empty = AccountSubject {
@@ -228,54 +202,6 @@
         Err(JobError::new(ErrorKind::QuotaExceeded, figures))
     }
 
-    /// Claim key that the job needs, `None` where all its requests are idempotent.
-    fn claim_for(&self, request: &JobRequest, now: Moment) -> Result<Option<ClaimKey>, JobError> {
-        let spec = find_spec(self.ledger.configuration(), request)?;
-        if is_idempotent(spec, request) {
-            return Ok(None);
-        }
-        let Some(created) = request.created else {
-            let figures = RefusalFigures::new("created_at_required", 1, 0);
-            return Err(JobError::new(ErrorKind::InvalidRequest, figures));
-        };
-        if created > now.wall + CLOCK_LEAD {
-            let lead = millis(created - now.wall);
-            let figures = RefusalFigures::new("clock_lead_ms", millis(CLOCK_LEAD), lead);
-            return Err(JobError::new(ErrorKind::InvalidRequest, figures));
-        }
-        let age = now.wall.saturating_sub(created);
-        if age > self.limits.claim_window {
-            let allowed = millis(self.limits.claim_window);
-            let figures = RefusalFigures::new("claim_window_ms", allowed, millis(age));
-            return Err(JobError::new(ErrorKind::RequestKeyExpired, figures));
-        }
-        if self.claims_read.is_none() {
-            return Err(JobError::plain(ErrorKind::LogUnavailable));
-        }
-        Ok(Some(claim_key(&request.team, &request.service, &request.job, created)))
-    }
-
-    /// What to do with a key that a submission known here holds.
-    fn find_claimed(&self, key: ClaimKey, request: &JobRequest) -> Option<Admission> {
-        let digest = content_digest(&request.tasks);
-        if let Some(kept) = self.kept.get(&key) {
-            let repeat = Admission::Repeat(key);
-            return Some(if kept.digest == digest { repeat } else { Self::key_reused() });
-        }
-        let holder = self.claims.holder(key)?;
-        Some(match self.jobs.get(&holder) {
-            Some(job) if job.digest == digest => Admission::Join(holder),
-            Some(_) => Self::key_reused(),
-            None => Admission::Refuse(JobError::plain(ErrorKind::AlreadyClaimed)),
-        })
-    }
-
-    /// Refusal of another job under a key that is taken.
-    fn key_reused() -> Admission {
-        let figures = RefusalFigures::new("jobs_per_request_key", 1, 2);
-        Admission::Refuse(JobError::new(ErrorKind::InvalidRequest, figures))
-    }
-
     fn hold(
         &mut self,
         id: SubmissionId,
@@ -321,20 +247,6 @@
         }
     }
 
-    /// Times up to which a job keeps its place in the queue, where all its requests have objectives.
-    fn patience(&self, job: &HeldJob) -> Option<JobPatience> {
-        let spec = self.ledger.configuration().services.get(&job.service)?;
-        let patience = job.tasks.iter().map(|task| {
-            let request = &task.request.request;
-            let objective = spec.requests.get(request)?.objective?;
-            let expected = self.run_times.expected(&job.service, request, task.declared);
-            let (slack, useless_after) = (objective.slack(expected), objective.patience(expected));
-            Some(JobPatience { slack, useless_after })
-        });
-        let patience: Option<Vec<JobPatience>> = patience.collect();
-        patience?.into_iter().max_by_key(|patience| patience.slack)
-    }
-
     fn join(&mut self, ticket: u64, id: SubmissionId) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.tickets.push(ticket);
@@ -408,7 +320,7 @@
     Err(JobError::plain(kind))
 }
 
-fn is_idempotent(spec: &ServiceSpec, request: &JobRequest) -> bool {
+pub(super) fn is_idempotent(spec: &ServiceSpec, request: &JobRequest) -> bool {
     let is_idempotent = |name| spec.requests.get(name).is_some_and(|rule| rule.idempotent);
     request.tasks.iter().all(|task| is_idempotent(&task.request))
 }
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -65,28 +65,6 @@
         outcome
     }
 
-    /// Puts the waiting tasks of a job that has become late behind those that can still be on time;
-    /// returns whether its place changed.
-    fn demote(&mut self, id: SubmissionId, now: Moment) -> bool {
-        let Some(job) = self.jobs.get_mut(&id) else { return false };
-        let band = job.band_at(now.elapsed);
-        if band == job.band() {
-            return false;
-        }
-        let (service, team, before) = (job.service.clone(), job.team.clone(), job.rank());
-        job.set_band(band);
-        let after = job.rank();
-        let waiting = job.tasks.iter().zip(0u32..);
-        let waiting = waiting.filter(|(task, _)| task.state() == TaskState::Queued);
-        for (_, index) in waiting {
-            let task = TaskId::new(id, index);
-            if self.queue.remove(&service, task, before) {
-                self.queue.push(&service, &team, task, after);
-            }
-        }
-        true
-    }
-
     /// Fills the server at `index` with waiting tasks of the services that it offers.
     pub(super) fn pump_server(&mut self, index: usize, now: Moment) {
         if self.queue.is_empty() || !self.is_fresh(now) {
@@ -204,6 +182,7 @@
 
     fn send(&mut self, id: TaskId, candidate: PlacementCandidate, now: Moment) {
         let Some(until) = self.permit_until(now) else { return };
+        let run_lease = (!self.limits.run_lease.is_zero()).then(|| self.run_lease());
         let version = self.version();
         let Some(job) = self.jobs.get_mut(&id.submission) else { return };
         let Some(server) = self.directory.get_mut(candidate.index) else { return };
@@ -236,7 +215,7 @@
             surcharge,
             payload: task.request.payload.clone(),
             version,
-            permit_until: server.agent_time(until),
+            permit_until: server.permit(until, run_lease),
             start_before: server.agent_time(due),
         };
         let sent = TimelineEvent::new(EventKind::TaskSent).submission(id.submission);
--- a/crates/core/src/entry/ending.rs
+++ b/crates/core/src/entry/ending.rs
@@ -1,6 +1,5 @@
 //! Endings: how a job is answered, and what it frees.
 
-use super::admit::millis;
 use super::{AccountSubject, EntryAction, EntryMachine, KeptAnswer};
 use crate::claim::{ClaimKey, ClaimStep};
 use crate::error::{ErrorKind, JobError, RefusalFigures};
@@ -163,21 +162,6 @@
         }
     }
 
-    /// Refuses every job that waited until its answer would be of no use without a single start.
-    pub(super) fn end_impatient(&mut self, now: Moment) {
-        while let Some(&(due, id)) = self.patience_dues.first() {
-            if due > now.elapsed {
-                return;
-            }
-            self.patience_dues.pop_first();
-            let Some(job) = self.jobs.get(&id).filter(|job| job.is_not_run()) else { continue };
-            let allowed = millis(due.saturating_sub(job.arrived));
-            let waited = millis(now.elapsed.saturating_sub(job.arrived));
-            let figures = RefusalFigures::new("patience_ms", allowed, waited);
-            self.end_failed(id, ErrorKind::Overloaded, figures, now);
-        }
-    }
-
     /// Ends every job whose claim the log did not confirm in time.
     pub(super) fn end_unclaimed(&mut self, now: Moment) {
         while let Some(&(due, id)) = self.claim_dues.first() {
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -14,6 +14,8 @@
 mod call;
 mod clock;
 mod event;
+mod life;
+mod look;
 
 pub use call::{
     EndNumber, EndedRow, FenceToken, HoldAnswer, HoldCall, HoldNumber, RunEnd, RunKey, RunListing,
@@ -157,88 +159,6 @@
         present.is_some_and(|present| present.life == *life && present.phase == LifePhase::Settled)
     }
 
-    fn greet(&mut self, life: ServerLife, clock: Option<Duration>, now: Moment) {
-        if self.former.as_ref() == Some(&life) {
-            return;
-        }
-        match &mut self.present {
-            Some(present) if present.life == life => {
-                if let Some(reading) = clock {
-                    present.clock.note(reading, now.elapsed);
-                }
-            }
-            Some(present) if present.life.server == life.server => {
-                if life.born > present.life.born {
-                    self.renew_life(life.born, now);
-                } else {
-                    // Late, or the wall clock of a new life went back; a look tells which.
-                    self.look(Duration::ZERO, now);
-                }
-            }
-            Some(_) => {
-                // The present life is over once it does not answer to its name any more.
-                self.next = Some(life);
-                self.look(Duration::ZERO, now);
-            }
-            None => self.begin_life(life, now),
-        }
-    }
-
-    fn begin_life(&mut self, life: ServerLife, now: Moment) {
-        self.present = Some(PresentLife {
-            life,
-            phase: LifePhase::Greeting,
-            fence: None,
-            clock: WorkerClock::default(),
-            last_seen: 0,
-            told: 0,
-            holds: BTreeSet::new(),
-            strays: BTreeSet::new(),
-        });
-        self.look(Duration::ZERO, now);
-    }
-
-    /// Goes on with a server that started again under its id. Orders sent since then reached the
-    /// new life, so the next look decides what became of each run.
-    fn renew_life(&mut self, born: Duration, now: Moment) {
-        let Some(present) = self.present.take() else { return };
-        let life = ServerLife { server: present.life.server.clone(), born };
-        self.former = Some(present.life.clone());
-        self.actions.push(RunAction::LifeOver(present.life));
-        self.begin_life(life, now);
-    }
-
-    /// The server leaves: its runs end with it, or with their lease.
-    fn part(&mut self, life: &ServerLife) {
-        let Some(present) = &mut self.present else { return };
-        if present.life == *life && present.phase != LifePhase::Parting {
-            present.phase = LifePhase::Parting;
-            self.actions.push(RunAction::LifeOver(life.clone()));
-        }
-    }
-
-    /// Ends the present life with everything that ran in it.
-    fn end_life(&mut self, now: Moment) {
-        let Some(present) = self.present.take() else { return };
-        self.former = Some(present.life.clone());
-        if present.phase != LifePhase::Parting {
-            self.actions.push(RunAction::LifeOver(present.life));
-        }
-        self.numbers.clear();
-        self.finish_all();
-        if let Some(life) = self.next.take() {
-            self.begin_life(life, now);
-        }
-    }
-
-    fn finish_all(&mut self) {
-        let mut tasks: Vec<TaskId> = self.runs.keys().copied().collect();
-        tasks.sort_unstable();
-        for task in tasks {
-            self.finish(task, RunResult::Interrupted);
-        }
-    }
-
     fn finish(&mut self, task: TaskId, result: RunResult) {
         if let Some(run) = self.runs.remove(&task) {
             self.tasks.remove(&run.key);
@@ -307,26 +227,6 @@
         self.actions.push(RunAction::Stop(call));
     }
 
-    /// Takes note of an answer, or that none was owed.
-    fn hear(&mut self, now: Moment) {
-        self.answered_at = now.elapsed;
-        if std::mem::take(&mut self.is_silent) {
-            self.actions.push(RunAction::Heard);
-        }
-    }
-
-    /// Takes note of a server that owes answers for long.
-    fn judge_silence(&mut self, now: Moment) {
-        if self.runs.is_empty() && !self.is_silent {
-            self.answered_at = now.elapsed;
-        }
-        let silence = now.elapsed.saturating_sub(self.answered_at);
-        if !self.is_silent && silence >= self.limits.silence {
-            self.is_silent = true;
-            self.actions.push(RunAction::Silent);
-        }
-    }
-
     fn take_start(&mut self, key: &RunKey, answer: StartAnswer, now: Moment) {
         if answer != StartAnswer::Unanswered {
             self.hear(now);
@@ -429,165 +329,6 @@
         }
     }
 
-    /// Sets a fence above the one that outranked ours.
-    fn fence_again(&mut self, now: Moment) {
-        if let Some(present) = &mut self.present {
-            present.fence = None;
-            present.phase = LifePhase::Greeting;
-        }
-        self.look(Duration::ZERO, now);
-    }
-
-    /// Asks for the lists; waits for an end for up to `wait`.
-    fn look(&mut self, wait: Duration, now: Moment) {
-        let Some(present) = &mut self.present else { return };
-        self.next_hold += 1;
-        present.holds.insert(self.next_hold);
-        let is_settled = present.phase == LifePhase::Settled;
-        present.told = present.last_seen;
-        self.actions.push(RunAction::Hold(HoldCall {
-            number: self.next_hold,
-            life: present.life.clone(),
-            fence: present.fence,
-            lease_until: is_settled.then(|| present.clock.lease(self.limits.lease, now.elapsed)),
-            last_seen: present.last_seen,
-            wait,
-        }));
-    }
-
-    /// Keeps looks under way while something runs or an end was not told of.
-    fn look_on(&mut self, now: Moment) {
-        let Some(present) = &self.present else { return };
-        let is_open = matches!(present.phase, LifePhase::Greeting | LifePhase::Clearing)
-            || !self.runs.is_empty()
-            || self.is_silent
-            || present.told < present.last_seen;
-        let wanted = if self.runs.is_empty() { 1 } else { self.limits.looks.max(1) };
-        let is_greeting = present.phase == LifePhase::Greeting;
-        let missing = wanted.saturating_sub(present.holds.len());
-        for _ in 0..if is_open { missing } else { 0 } {
-            self.look(if is_greeting { Duration::ZERO } else { self.limits.renewal }, now);
-        }
-    }
-
-    fn take_hold(&mut self, number: HoldNumber, answer: HoldAnswer, now: Moment) {
-        if answer != HoldAnswer::Unanswered {
-            self.hear(now);
-        }
-        let Some(present) = &mut self.present else { return };
-        if !present.holds.remove(&number) {
-            return;
-        }
-        match answer {
-            HoldAnswer::Listing(listing) => self.take_listing(listing, number, now),
-            HoldAnswer::Fenced { clock } => {
-                present.clock.note(clock, now.elapsed);
-                present.fence = Some(fence_at(clock));
-                present.phase = LifePhase::Greeting;
-            }
-            HoldAnswer::OtherLife => self.end_life(now),
-            HoldAnswer::Unanswered => {}
-        }
-    }
-
-    fn take_listing(&mut self, listing: RunListing, asked: HoldNumber, now: Moment) {
-        let Some(present) = &mut self.present else { return };
-        if let Some(born) = listing.born.filter(|born| *born != present.life.born) {
-            self.renew_life(born, now);
-            return;
-        }
-        present.clock.note(listing.clock, now.elapsed);
-        let has_all_ends = listing.ended.len() < MOST_ENDS;
-        for row in listing.ended {
-            self.take_end(&row);
-        }
-        self.stop_strays(&listing.running);
-        self.stop_stalled(&listing.running, now);
-        if has_all_ends {
-            self.end_vanished(&listing.running, asked);
-        }
-        self.advance_life(&listing.running, listing.clock);
-    }
-
-    fn take_end(&mut self, row: &EndedRow) {
-        let Some(present) = &mut self.present else { return };
-        if row.number <= present.last_seen {
-            return;
-        }
-        present.last_seen = row.number;
-        present.strays.remove(&row.key);
-        let Some(&task) = self.tasks.get(&row.key) else { return };
-        let result = match row.end {
-            RunEnd::Done => RunResult::Answered(Bytes::new()),
-            RunEnd::Failed => RunResult::Failed,
-            RunEnd::Interrupted => RunResult::Interrupted,
-        };
-        self.finish(task, result);
-    }
-
-    /// Stops what runs and was not started here.
-    fn stop_strays(&mut self, running: &[RunningRow]) {
-        for row in running {
-            let Some(present) = &mut self.present else { return };
-            let is_known = self.tasks.contains_key(&row.key);
-            if !is_known && present.fence.is_some() && present.strays.insert(row.key.clone()) {
-                self.send_stop(row.key.clone());
-            }
-        }
-    }
-
-    /// Stops the runs that have not moved on for long.
-    fn stop_stalled(&mut self, running: &[RunningRow], now: Moment) {
-        for row in running {
-            let Some(&task) = self.tasks.get(&row.key) else { continue };
-            let Some(run) = self.runs.get_mut(&task) else { continue };
-            let is_moving = row.percent != run.percent;
-            run.has_started = true;
-            let moved_at = *run.moved_at.get_or_insert(now.elapsed);
-            if is_moving {
-                run.percent = row.percent;
-                run.moved_at = Some(now.elapsed);
-            } else if now.elapsed.saturating_sub(moved_at) >= self.limits.stall {
-                self.stop(task);
-            }
-        }
-    }
-
-    /// Ends the runs that were started or stopped before the look and that it does not show: their
-    /// start was forbidden in time, or they were part of an earlier life of the server.
-    fn end_vanished(&mut self, running: &[RunningRow], asked: HoldNumber) {
-        let is_over = |run: &HeldRun| {
-            let is_settled = run.settled_after.is_some_and(|earlier| earlier < asked);
-            is_settled && !running.iter().any(|row| row.key == run.key)
-        };
-        let over = self.runs.iter().filter(|(_, run)| is_over(run));
-        let mut over: Vec<TaskId> = over.map(|(task, _)| *task).collect();
-        over.sort_unstable();
-        for task in over {
-            let has_started = self.runs.get(&task).is_some_and(|run| run.has_started);
-            // The end of a run that started would be listed.
-            let never = RunResult::Refused(NotStartedReason::NeverReceived);
-            self.finish(task, if has_started { RunResult::Interrupted } else { never });
-        }
-    }
-
-    fn advance_life(&mut self, running: &[RunningRow], clock: Duration) {
-        let Some(present) = &mut self.present else { return };
-        match present.phase {
-            LifePhase::Greeting if present.fence.is_none() => {
-                present.fence = Some(fence_at(clock));
-            }
-            LifePhase::Greeting => present.phase = LifePhase::Clearing,
-            LifePhase::Clearing | LifePhase::Settled | LifePhase::Parting => {}
-        }
-        let is_clear = running.iter().all(|row| self.tasks.contains_key(&row.key));
-        if present.phase == LifePhase::Clearing && is_clear && present.strays.is_empty() {
-            present.phase = LifePhase::Settled;
-            let life = present.life.clone();
-            self.actions.push(RunAction::Settled(life));
-        }
-    }
-
     fn tick(&mut self, now: Moment) {
         let kept = self.limits.numbers_kept;
         self.numbers.retain(|_, (_, at)| *at + kept > now.elapsed);
@@ -599,30 +340,8 @@
         }
         self.judge_silence(now);
     }
-
-    fn end_parted(&mut self, now: Moment) {
-        let is_parting =
-            self.present.as_ref().is_some_and(|present| present.phase == LifePhase::Parting);
-        if is_parting && self.runs.is_empty() {
-            self.end_life(now);
-        }
-    }
-
-    /// Ends every run whose lease is over, but for those that may not have started yet.
-    fn end_lapsed(&mut self) {
-        let is_lapsed = |run: &HeldRun| run.phase != RunPhase::Starting && !run.is_start_open;
-        let lapsed = self.runs.iter().filter(|(_, run)| is_lapsed(run));
-        let mut lapsed: Vec<TaskId> = lapsed.map(|(task, _)| *task).collect();
-        lapsed.sort_unstable();
-        for task in lapsed {
-            self.finish(task, RunResult::Interrupted);
-        }
-    }
 }
 
-/// Ends that a worker lists in one answer at most; it may have more.
-const MOST_ENDS: usize = 500;
-
 /// Fence of an agent that starts when the worker's clock shows `clock`; the clock never goes back
 /// within a life, so a later agent gets a higher one.
 fn fence_at(clock: Duration) -> FenceToken {
--- a/crates/core/tests/leases.rs
+++ b/crates/core/tests/leases.rs
@@ -183,12 +183,29 @@
     agent.handle(AgentEvent::ServerHeard, at(600));
 
     let no_connection = TaskReply::NotStarted(NotStartedReason::NoConnection);
-    assert_eq!(replies(&returned), [no_connection.clone()]);
+    assert_eq!(replies(&returned), std::slice::from_ref(&no_connection));
     assert_eq!(replies(&refused), [no_connection]);
     assert!(was_leaving);
     assert!(!agent.is_leaving());
 }
 
+#[test]
+fn a_task_that_waited_over_the_end_of_the_lease_is_not_started_after_its_renewal() {
+    let mut agent = leased_agent();
+    renew(&mut agent, 0);
+    let whole = ServerRoom { slots: 4, memory_mb: 10, accelerators: 0 };
+    let first = order(0, 1, whole);
+    start(&mut agent, first.clone(), 10);
+    start(&mut agent, order(1, 1, one_slot()), 20);
+
+    renew(&mut agent, 3_000);
+    let result = RunResult::Interrupted;
+    let freed = agent.handle(AgentEvent::Finished { task: first.task, result }, at(3_010));
+
+    assert_eq!(runs(&freed), 0);
+    assert_eq!(agent.held(), 0);
+}
+
 #[test]
 fn the_longest_prefix_at_the_host_is_the_route() {
     let rule = |host: &str, prefix: &str, request: &str| RouteRule {
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -6,10 +6,12 @@
 use parsleyspool_wire::codec::{MAX_MESSAGE_BYTES, decode, encode};
 use parsleyspool_wire::operator::OperatorErrorBody;
 use parsleyspool_wire::peer::Envelope;
+use reqwest::Client;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use warp::http::{Response, StatusCode};
 use warp::reject::{LengthRequired, MethodNotAllowed, PayloadTooLarge};
@@ -23,6 +25,24 @@
 /// Media type of messages between the daemons.
 pub const MESSAGE_TYPE: &str = "application/msgpack";
 
+/// Time after which a client closes an idle connection.
+const CLIENT_IDLE: Duration = Duration::from_secs(5);
+
+/// Client that gives up opening a connection after `connect_timeout`; it closes idle connections
+/// soon, since one may have gone silent.
+///
+/// # Errors
+/// Fails where the client cannot be built.
+pub fn client(connect_timeout: Duration) -> Result<Client, Report<DaemonError>> {
+    Client::builder()
+        .connect_timeout(connect_timeout)
+        .pool_idle_timeout(CLIENT_IDLE)
+        .no_proxy()
+        .tcp_nodelay(true)
+        .build()
+        .change_context(DaemonError::Client)
+}
+
 /// Listener bound to `address`.
 ///
 /// # Errors
--- a/crates/daemon/src/log_client.rs
+++ b/crates/daemon/src/log_client.rs
@@ -2,6 +2,7 @@
 
 use crate::edge::{LogPage, LogStore};
 use crate::error::DaemonError;
+use crate::http::client;
 use crate::telemetry::metrics::{DaemonMetrics, MessageKind};
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
@@ -16,8 +17,6 @@
 
 /// Largest answer of the log, in bytes.
 const MAX_PAGE_BYTES: usize = 64 << 20;
-/// Time after which an idle connection is closed.
-const POOL_IDLE: Duration = Duration::from_secs(5);
 
 /// Log behind a URL.
 #[derive(Debug)]
@@ -34,13 +33,7 @@
     /// # Errors
     /// Fails where the HTTP client cannot be built.
     pub fn new(base: &str, timeout: Duration) -> Result<Self, Report<DaemonError>> {
-        let client = Client::builder()
-            .connect_timeout(timeout)
-            .pool_idle_timeout(POOL_IDLE)
-            .no_proxy()
-            .tcp_nodelay(true)
-            .build()
-            .change_context(DaemonError::Client)?;
+        let client = client(timeout)?;
         let base = base.trim_end_matches('/').to_owned();
         Ok(Self { client, base, timeout, metrics: None })
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -3,21 +3,20 @@
 //! A file has one key at its top, `entry` or `agent`. [`load`] reads a file and refuses it with
 //! every fault that it can find, each with the line and the key, before anything starts.
 
+mod agent;
 mod check;
 mod locate;
 mod reference;
 
+pub use agent::{AgentLimitSettings, AgentSettings, BackendSettings, RunSettings};
 pub use check::{SettingFault, agent_faults, entry_faults};
 pub use reference::{SETTING_TABLE, SettingRow};
 
 use crate::error::DaemonError;
 use error_stack::{Report, ResultExt};
-use parsleyspool_core::agent::AgentLimits;
 use parsleyspool_core::directory::{DirectoryLimits, TrustPolicy};
 use parsleyspool_core::entry::EntryLimits;
 use parsleyspool_core::placement::PlacementKind;
-use parsleyspool_core::room::ServerRoom;
-use parsleyspool_core::run::RunLimits;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -214,125 +213,6 @@
     }
 }
 
-/// Settings of an agent.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct AgentSettings {
-    /// Name of the backend server.
-    pub name: String,
-    /// Failure domain.
-    pub domain: String,
-    /// Worker.
-    pub worker: String,
-    /// Listener for entries and operators.
-    pub listen: SocketAddr,
-    /// Address under which entries reach the listener, where it differs.
-    #[serde(default)]
-    pub advertise: Option<SocketAddr>,
-    /// Peer addresses of the entries, by name.
-    #[serde(default)]
-    pub entries: BTreeMap<String, SocketAddr>,
-    /// Peer listeners of entries whose names are not known, where the others are learnt.
-    #[serde(default)]
-    pub seeds: Vec<SocketAddr>,
-    /// The backend server.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub backend: Option<BackendSettings>,
-    /// Leases of the worker, where it runs tasks under leases.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub runs: Option<RunSettings>,
-    /// Limits.
-    #[serde(default)]
-    pub limits: AgentLimitSettings,
-    /// Telemetry.
-    #[serde(default)]
-    pub telemetry: TelemetrySettings,
-    /// Longest time that a planned stop waits for tasks in progress.
-    #[serde(default = "default_drain", with = "humantime_serde")]
-    pub drain: Duration,
-}
-
-/// Leases of a worker.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct RunSettings {
-    /// Length of the lease that each call gives to all runs.
-    #[serde(with = "humantime_serde")]
-    pub lease: Duration,
-    /// Time between two renewals.
-    #[serde(with = "humantime_serde")]
-    pub renewal: Duration,
-    /// Looks under way at once.
-    #[serde(default = "default_looks")]
-    pub looks: usize,
-}
-
-fn default_looks() -> usize {
-    1
-}
-
-impl From<&RunSettings> for RunLimits {
-    fn from(settings: &RunSettings) -> Self {
-        Self {
-            lease: settings.lease,
-            renewal: settings.renewal,
-            looks: settings.looks,
-            ..Self::default()
-        }
-    }
-}
-
-/// The backend server beside an agent.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct BackendSettings {
-    /// URL under which it takes tasks.
-    pub url: String,
-    /// URL of the worker, where it can stop tasks.
-    #[serde(default)]
-    pub worker_url: Option<String>,
-    /// Services that it offers.
-    pub services: Vec<String>,
-    /// Tasks that it runs at once.
-    pub slots: u32,
-    /// Connections to it at most.
-    #[serde(default = "default_connections")]
-    pub connections: usize,
-    /// Time after which a task is given up.
-    #[serde(default = "default_backend_timeout", with = "humantime_serde")]
-    pub timeout: Duration,
-    /// Largest answer in bytes.
-    #[serde(default = "default_answer_bytes")]
-    pub answer_bytes: usize,
-}
-
-/// Limits of an agent.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct AgentLimitSettings {
-    /// Slots of tasks that may wait at the agent.
-    pub queue: u32,
-    /// How long outcomes are kept.
-    #[serde(with = "humantime_serde")]
-    pub outcome_kept: Duration,
-    /// Outcomes kept at most.
-    pub outcomes_kept: usize,
-    /// Bytes of answers kept at most.
-    pub answer_bytes: usize,
-}
-
-impl Default for AgentLimitSettings {
-    fn default() -> Self {
-        let limits = AgentLimits::default();
-        Self {
-            queue: limits.queue,
-            outcome_kept: limits.outcome_kept,
-            outcomes_kept: limits.outcomes_kept,
-            answer_bytes: limits.answer_bytes,
-        }
-    }
-}
-
 /// Logs and time line of a process.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -382,18 +262,6 @@
     Duration::from_secs(3600)
 }
 
-fn default_connections() -> usize {
-    60
-}
-
-fn default_backend_timeout() -> Duration {
-    Duration::from_secs(60)
-}
-
-fn default_answer_bytes() -> usize {
-    1 << 20
-}
-
 /// Settings in the file at `path`.
 ///
 /// # Errors
@@ -473,17 +341,3 @@
         }
     }
 }
-
-impl AgentSettings {
-    /// Limits for the decision part.
-    pub fn agent_limits(&self) -> AgentLimits {
-        AgentLimits {
-            whole: ServerRoom::of_slots(self.backend.as_ref().map_or(0, |backend| backend.slots)),
-            is_leased: self.runs.is_some(),
-            queue: self.limits.queue,
-            outcome_kept: self.limits.outcome_kept,
-            outcomes_kept: self.limits.outcomes_kept,
-            answer_bytes: self.limits.answer_bytes,
-        }
-    }
-}
