--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -159,6 +159,14 @@
         present.is_some_and(|present| present.life == *life && present.phase == LifePhase::Settled)
     }
 
+    /// Tasks of the runs that `is_meant` picks, in a fixed order.
+    fn tasks_where(&self, is_meant: impl Fn(&HeldRun) -> bool) -> Vec<TaskId> {
+        let meant = self.runs.iter().filter(|(_, run)| is_meant(run));
+        let mut meant: Vec<TaskId> = meant.map(|(task, _)| *task).collect();
+        meant.sort_unstable();
+        meant
+    }
+
     fn finish(&mut self, task: TaskId, result: RunResult) {
         if let Some(run) = self.runs.remove(&task) {
             self.tasks.remove(&run.key);
--- a/crates/core/src/run/life.rs
+++ b/crates/core/src/run/life.rs
@@ -3,7 +3,6 @@
 use super::clock::WorkerClock;
 use super::{LifePhase, PresentLife, RunAction, RunLedger, RunningRow, ServerLife, fence_at};
 use crate::agent::RunResult;
-use crate::id::TaskId;
 use crate::time::Moment;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -77,20 +76,14 @@
             self.actions.push(RunAction::LifeOver(present.life));
         }
         self.numbers.clear();
-        self.finish_all();
+        for task in self.tasks_where(|_| true) {
+            self.finish(task, RunResult::Interrupted);
+        }
         if let Some(life) = self.next.take() {
             self.begin_life(life, now);
         }
     }
 
-    pub(super) fn finish_all(&mut self) {
-        let mut tasks: Vec<TaskId> = self.runs.keys().copied().collect();
-        tasks.sort_unstable();
-        for task in tasks {
-            self.finish(task, RunResult::Interrupted);
-        }
-    }
-
     /// Sets a fence above the one that outranked ours.
     pub(super) fn fence_again(&mut self, now: Moment) {
         if let Some(present) = &mut self.present {
--- a/crates/core/src/run/look.rs
+++ b/crates/core/src/run/look.rs
@@ -6,7 +6,6 @@
 };
 use crate::agent::RunResult;
 use crate::entry::NotStartedReason;
-use crate::id::TaskId;
 use crate::time::Moment;
 use bytes::Bytes;
 use std::time::Duration;
@@ -137,10 +136,7 @@
             let is_settled = run.settled_after.is_some_and(|earlier| earlier < asked);
             is_settled && !running.iter().any(|row| row.key == run.key)
         };
-        let over = self.runs.iter().filter(|(_, run)| is_over(run));
-        let mut over: Vec<TaskId> = over.map(|(task, _)| *task).collect();
-        over.sort_unstable();
-        for task in over {
+        for task in self.tasks_where(is_over) {
             let has_started = self.runs.get(&task).is_some_and(|run| run.has_started);
             // The end of a run that started would be listed.
             let never = RunResult::Refused(NotStartedReason::NeverReceived);
@@ -151,10 +147,7 @@
     /// Ends every run whose lease is over, but for those that may not have started yet.
     pub(super) fn end_lapsed(&mut self) {
         let is_lapsed = |run: &HeldRun| run.phase != RunPhase::Starting && !run.is_start_open;
-        let lapsed = self.runs.iter().filter(|(_, run)| is_lapsed(run));
-        let mut lapsed: Vec<TaskId> = lapsed.map(|(task, _)| *task).collect();
-        lapsed.sort_unstable();
-        for task in lapsed {
+        for task in self.tasks_where(is_lapsed) {
             self.finish(task, RunResult::Interrupted);
         }
     }
--- a/crates/daemon/src/entry/callers.rs
+++ b/crates/daemon/src/entry/callers.rs
@@ -3,9 +3,8 @@
 use super::EntryShared;
 use super::actor::CallerAnswer;
 use super::port::{EntryGone, EntryPort};
-use crate::http::{HttpReply, fault, json, recover};
-use bytes::{Bytes, BytesMut};
-use futures_util::{Stream, StreamExt};
+use crate::http::{BodyFault, HttpReply, collect, fault, json, recover};
+use futures_util::Stream;
 use parsleyspool_core::entry::EntryEvent;
 use parsleyspool_core::error::{ErrorKind, RefusalFigures};
 use parsleyspool_core::job::{JobAnswer, JobRequest};
@@ -36,10 +35,9 @@
     shared: Arc<EntryShared>,
 ) -> HttpReply {
     let arrived = shared.edges.clock.now().elapsed;
-    let request = match collect(body, shared.settings.limits.body_bytes).await {
-        Ok(bytes) => read_job(&bytes),
-        Err(fault) => Err(fault),
-    };
+    let limit = shared.settings.limits.body_bytes;
+    let body = collect(body, limit).await.map_err(|fault| body_error(fault, limit));
+    let request = body.and_then(|bytes| read_job(&bytes));
     let team = request.as_ref().ok().map(|request| request.team.clone());
     let answer = port.ask(|ticket| match request {
         Ok(request) => EntryEvent::Submit { ticket, request },
@@ -59,23 +57,14 @@
     }
 }
 
-async fn collect<B: Buf>(
-    mut body: impl Stream<Item = Result<B, warp::Error>> + Unpin,
-    limit: u64,
-) -> Result<Bytes, (ErrorKind, RefusalFigures)> {
-    let mut bytes = BytesMut::new();
-    while let Some(chunk) = body.next().await {
-        let Ok(mut chunk) = chunk else {
-            return Err((ErrorKind::InvalidRequest, RefusalFigures::default()));
-        };
-        let size = bytes.len() as u64 + chunk.remaining() as u64;
-        if size > limit {
-            let figures = RefusalFigures::new("body_bytes", limit, size);
-            return Err((ErrorKind::RequestTooLarge, figures));
+/// Kind and figures of a body that was not read.
+fn body_error(fault: BodyFault, limit: u64) -> (ErrorKind, RefusalFigures) {
+    match fault {
+        BodyFault::Broken => (ErrorKind::InvalidRequest, RefusalFigures::default()),
+        BodyFault::TooLarge { size } => {
+            (ErrorKind::RequestTooLarge, RefusalFigures::new("body_bytes", limit, size))
         }
-        bytes.extend_from_slice(&chunk.copy_to_bytes(chunk.remaining()));
     }
-    Ok(bytes.freeze())
 }
 
 fn read_job(bytes: &[u8]) -> Result<JobRequest, (ErrorKind, RefusalFigures)> {
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -1,8 +1,9 @@
 //! HTTP shared by the daemons: bodies, replies and listeners.
 
 use crate::error::DaemonError;
-use bytes::Bytes;
+use bytes::{Buf, Bytes, BytesMut};
 use error_stack::{Report, ResultExt};
+use futures_util::{Stream, StreamExt};
 use parsleyspool_wire::codec::{MAX_MESSAGE_BYTES, decode, encode};
 use parsleyspool_wire::operator::OperatorErrorBody;
 use parsleyspool_wire::peer::Envelope;
@@ -25,6 +26,38 @@
 /// Media type of messages between the daemons.
 pub const MESSAGE_TYPE: &str = "application/msgpack";
 
+/// Why a body was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFault {
+    /// The connection broke before its end.
+    Broken,
+    /// It is larger than the limit.
+    TooLarge {
+        /// Bytes read when that was seen.
+        size: u64,
+    },
+}
+
+/// Whole body of a request of at most `limit` bytes.
+///
+/// # Errors
+/// Fails where it is larger or ends early.
+pub async fn collect<B: Buf>(
+    mut body: impl Stream<Item = Result<B, warp::Error>> + Unpin,
+    limit: u64,
+) -> Result<Bytes, BodyFault> {
+    let mut bytes = BytesMut::new();
+    while let Some(chunk) = body.next().await {
+        let mut chunk = chunk.map_err(|_| BodyFault::Broken)?;
+        let size = bytes.len() as u64 + chunk.remaining() as u64;
+        if size > limit {
+            return Err(BodyFault::TooLarge { size });
+        }
+        bytes.extend_from_slice(&chunk.copy_to_bytes(chunk.remaining()));
+    }
+    Ok(bytes.freeze())
+}
+
 /// Time after which a client closes an idle connection.
 const CLIENT_IDLE: Duration = Duration::from_secs(5);
 
