--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -18,6 +18,7 @@
 mod event;
 mod exchange;
 mod key;
+mod late;
 mod limits;
 mod outcome;
 mod pace;
@@ -47,6 +48,7 @@
 use crate::retry::RetryBudget;
 use crate::time::Moment;
 use crate::timeline::{EventFigure, EventKind, TimelineEvent};
+use late::LateJobs;
 use pace::AppendPace;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -143,8 +145,9 @@
     tickets: HashMap<u64, SubmissionId>,
     dues: BTreeSet<(Duration, SubmissionId)>,
     claim_dues: BTreeSet<(Duration, SubmissionId)>,
-    /// Times after which the answer to a job is of no use.
+    /// Times after which jobs that wait leave their band.
     patience_dues: BTreeSet<(Duration, SubmissionId)>,
+    late: LateJobs,
     asks: BTreeSet<(Duration, TaskId)>,
     kept: HashMap<ClaimKey, KeptAnswer>,
     team_open: HashMap<TeamName, u32>,
@@ -185,6 +188,7 @@
             dues: BTreeSet::new(),
             claim_dues: BTreeSet::new(),
             patience_dues: BTreeSet::new(),
+            late: LateJobs::default(),
             asks: BTreeSet::new(),
             kept: HashMap::new(),
             team_open: HashMap::new(),
--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -222,7 +222,7 @@
         *self.team_open.entry(job.team.clone()).or_insert(0) += job.task_count();
         self.tickets.insert(ticket, id);
         self.dues.insert((job.due, id));
-        if let Some(due) = job.useless_at() {
+        if let Some(due) = job.patience_due() {
             self.patience_dues.insert((due, id));
         }
         let admitted = TimelineEvent::new(EventKind::JobAdmitted).submission(id);
--- a/crates/core/src/entry/control.rs
+++ b/crates/core/src/entry/control.rs
@@ -320,7 +320,7 @@
         self.judge_freshness(now);
         self.end_unclaimed(now);
         self.end_overdue(now);
-        self.end_impatient(now);
+        self.follow_patience(now);
         self.ask_overdue(now);
         self.end_lapsed(now);
         for index in self.directory.sweep(self.heartbeat_interval(), now.elapsed) {
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -3,6 +3,7 @@
 use super::{EntryAction, EntryMachine, NotStartedReason, StartOrder};
 use crate::error::{ErrorKind, RefusalFigures};
 use crate::id::{ServiceName, SubmissionId, TaskId};
+use crate::job::JobBand;
 use crate::lifecycle::{DomainState, JobState, TaskEvent, TaskState};
 use crate::placement::PlacementCandidate;
 use crate::room::ServerRoom;
@@ -99,7 +100,7 @@
         if task.state() != TaskState::Queued || job.state() != JobState::Open {
             return PlaceOutcome::Gone;
         }
-        let service = job.service.clone();
+        let (service, job_band) = (job.service.clone(), job.band());
         let request = task.request.request.clone();
         let (room, declared, failed_on) = (task.room, task.declared, task.failed_on);
         let mut candidates = self.candidates(&service, &request, room, declared, now);
@@ -109,6 +110,9 @@
         let Some(position) = self.policy.choose(&candidates, &mut self.random) else {
             return PlaceOutcome::Wait;
         };
+        if job_band != JobBand::OnTime {
+            self.late.note_started(&service);
+        }
         self.send(id, candidates[position], now);
         PlaceOutcome::Sent
     }
--- a/crates/core/src/entry/ending.rs
+++ b/crates/core/src/entry/ending.rs
@@ -104,7 +104,7 @@
     pub(super) fn remove_job(&mut self, id: SubmissionId) -> Option<HeldJob> {
         let job = self.jobs.remove(&id)?;
         self.dues.remove(&(job.due, id));
-        if let Some(due) = job.useless_at() {
+        if let Some(due) = job.patience_due() {
             self.patience_dues.remove(&(due, id));
         }
         self.held_tasks -= job.tasks.len();
--- a/crates/core/src/entry/patience.rs
+++ b/crates/core/src/entry/patience.rs
@@ -2,9 +2,10 @@
 
 use super::EntryMachine;
 use super::admit::millis;
+use super::late::LateChoice;
 use crate::error::{ErrorKind, RefusalFigures};
 use crate::id::{SubmissionId, TaskId};
-use crate::job::{HeldJob, JobPatience};
+use crate::job::{HeldJob, JobBand, JobPatience};
 use crate::lifecycle::TaskState;
 use crate::time::Moment;
 
@@ -23,17 +24,32 @@
         patience?.into_iter().max_by_key(|patience| patience.slack)
     }
 
-    /// Puts the waiting tasks of a job that has become late behind those that can still be on time;
-    /// returns whether its place changed.
+    /// Puts the waiting tasks of a job that has become late behind those that can still be on time,
+    /// or refuses it where that would be in vain; returns whether anything changed.
     pub(super) fn demote(&mut self, id: SubmissionId, now: Moment) -> bool {
-        let Some(job) = self.jobs.get_mut(&id) else { return false };
+        let Some(job) = self.jobs.get(&id) else { return false };
         let band = job.band_at(now.elapsed);
         if band == job.band() {
             return false;
         }
+        if band == JobBand::Late && job.is_not_run() {
+            let is_waiting = |other| self.jobs.get(&other).is_some_and(HeldJob::is_not_run);
+            if self.late.choose(&job.service, id, is_waiting) == LateChoice::Refuse {
+                let allowed = job.patience.map_or(0, |patience| millis(patience.slack));
+                self.refuse_waiting(id, "late_after_ms", allowed, now);
+                return true;
+            }
+        }
+        self.set_band(id, band);
+        true
+    }
+
+    fn set_band(&mut self, id: SubmissionId, band: JobBand) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
         let (service, team, before) = (job.service.clone(), job.team.clone(), job.rank());
+        let due_before = job.patience_due();
         job.set_band(band);
-        let after = job.rank();
+        let (after, due_after) = (job.rank(), job.patience_due());
         let waiting = job.tasks.iter().zip(0u32..);
         let waiting = waiting.filter(|(task, _)| task.state() == TaskState::Queued);
         for (_, index) in waiting {
@@ -42,21 +58,37 @@
                 self.queue.push(&service, &team, task, after);
             }
         }
-        true
+        if let Some(due) = due_before {
+            self.patience_dues.remove(&(due, id));
+        }
+        if let Some(due) = due_after {
+            self.patience_dues.insert((due, id));
+        }
     }
 
-    /// Refuses every job that waited until its answer would be of no use without a single start.
-    pub(super) fn end_impatient(&mut self, now: Moment) {
+    /// Follows the jobs that become late, and refuses every one that waited until its answer would
+    /// be of no use without a single start.
+    pub(super) fn follow_patience(&mut self, now: Moment) {
         while let Some(&(due, id)) = self.patience_dues.first() {
-            if due > now.elapsed {
+            if due >= now.elapsed {
                 return;
             }
             self.patience_dues.pop_first();
-            let Some(job) = self.jobs.get(&id).filter(|job| job.is_not_run()) else { continue };
-            let allowed = millis(due.saturating_sub(job.arrived));
-            let waited = millis(now.elapsed.saturating_sub(job.arrived));
-            let figures = RefusalFigures::new("patience_ms", allowed, waited);
-            self.end_failed(id, ErrorKind::Overloaded, figures, now);
+            let Some(job) = self.jobs.get(&id) else { continue };
+            if job.band_at(now.elapsed) == JobBand::Spent && job.is_not_run() {
+                let allowed = job.patience.map_or(0, |patience| millis(patience.useless_after));
+                self.late.note_expired(&job.service, id);
+                self.refuse_waiting(id, "patience_ms", allowed, now);
+            } else {
+                self.demote(id, now);
+            }
         }
     }
+
+    fn refuse_waiting(&mut self, id: SubmissionId, limit: &'static str, allowed: u64, now: Moment) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let waited = millis(now.elapsed.saturating_sub(job.arrived));
+        let figures = RefusalFigures::new(limit, allowed, waited);
+        self.end_failed(id, ErrorKind::Overloaded, figures, now);
+    }
 }
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -262,9 +262,14 @@
         }
     }
 
-    /// Time after which its answer is of no use, where its requests say so.
-    pub fn useless_at(&self) -> Option<Duration> {
-        self.patience.map(|patience| self.arrived + patience.useless_after)
+    /// When it leaves its present band, where its requests say so.
+    pub fn patience_due(&self) -> Option<Duration> {
+        let patience = self.patience?;
+        match self.band {
+            JobBand::OnTime => Some(self.arrived + patience.slack.min(patience.useless_after)),
+            JobBand::Late => Some(self.arrived + patience.useless_after),
+            JobBand::Spent => None,
+        }
     }
 
     /// Moves the job to `band`.
--- a/crates/core/tests/session/main.rs
+++ b/crates/core/tests/session/main.rs
@@ -237,3 +237,22 @@
 
     insta::assert_snapshot!(desk.story());
 }
+
+#[test]
+fn once_a_late_job_waited_in_vain_only_one_more_waits_as_a_probe() {
+    let mut desk = SessionDesk::leased(&["a"]);
+    desk.submit(1, "urgent", 4);
+    desk.submit(2, "urgent", 1);
+    desk.pass_ms(310);
+
+    desk.submit(3, "urgent", 1);
+    desk.pass_ms(10);
+    desk.submit(4, "urgent", 1);
+    desk.pass_ms(45);
+    desk.pass_ms(10);
+    desk.answer_task(1, 0);
+    desk.submit(5, "urgent", 4);
+    desk.pass_ms(60);
+
+    insta::assert_snapshot!(desk.story());
+}
