Finish late jobs that have begun before others begin

Change: only jobs of which nothing has begun are put behind; a late one that gets a start goes first from then on, until its answer is of no use.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -145,8 +145,8 @@
     tickets: HashMap<u64, SubmissionId>,
     dues: BTreeSet<(Duration, SubmissionId)>,
     claim_dues: BTreeSet<(Duration, SubmissionId)>,
-    /// Times after which jobs that wait leave their band.
-    patience_dues: BTreeSet<(Duration, SubmissionId)>,
+    /// Times after which the bands of jobs are looked at again.
+    band_dues: BTreeSet<(Duration, SubmissionId)>,
     late: LateJobs,
     asks: BTreeSet<(Duration, TaskId)>,
     kept: HashMap<ClaimKey, KeptAnswer>,
@@ -187,7 +187,7 @@
             tickets: HashMap::new(),
             dues: BTreeSet::new(),
             claim_dues: BTreeSet::new(),
-            patience_dues: BTreeSet::new(),
+            band_dues: BTreeSet::new(),
             late: LateJobs::default(),
             asks: BTreeSet::new(),
             kept: HashMap::new(),
--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -222,9 +222,6 @@
         *self.team_open.entry(job.team.clone()).or_insert(0) += job.task_count();
         self.tickets.insert(ticket, id);
         self.dues.insert((job.due, id));
-        if let Some(due) = job.patience_due() {
-            self.patience_dues.insert((due, id));
-        }
         let admitted = TimelineEvent::new(EventKind::JobAdmitted).submission(id);
         let admitted =
             admitted.subject(&job.job).figure(EventFigure::Tasks(job.tasks.len() as u64));
@@ -233,6 +230,7 @@
             None => {
                 job.advance(JobEvent::Admit);
                 self.jobs.insert(id, job);
+                self.follow_band(id, now);
                 self.enqueue(id, now);
             }
             Some(key) => {
@@ -240,6 +238,7 @@
                 let due = job.due.min(now.elapsed + self.limits.claim_timeout);
                 self.claim_dues.insert((due, id));
                 self.jobs.insert(id, job);
+                self.follow_band(id, now);
                 self.claim_outbox.push(ClaimStep::Claim { key, submission: id });
                 let sent = TimelineEvent::new(EventKind::ClaimSent).submission(id);
                 self.note(sent.figure(EventFigure::Key(key)));
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -50,7 +50,7 @@
     /// Places the next waiting task of `services`; `Wait` where there is none or none can go.
     fn place_next(&mut self, services: &[ServiceName], now: Moment) -> PlaceOutcome {
         let Some((task, team)) = self.queue.pop(services) else { return PlaceOutcome::Wait };
-        if self.demote(task.submission, now) {
+        if self.settle_band(task.submission, now) {
             self.put_back(task);
             return PlaceOutcome::Gone;
         }
@@ -114,6 +114,7 @@
             self.late.note_started(&service);
         }
         self.send(id, candidates[position], now);
+        self.settle_band(id.submission, now);
         PlaceOutcome::Sent
     }
 
--- a/crates/core/src/entry/ending.rs
+++ b/crates/core/src/entry/ending.rs
@@ -104,8 +104,8 @@
     pub(super) fn remove_job(&mut self, id: SubmissionId) -> Option<HeldJob> {
         let job = self.jobs.remove(&id)?;
         self.dues.remove(&(job.due, id));
-        if let Some(due) = job.patience_due() {
-            self.patience_dues.remove(&(due, id));
+        if let Some(due) = job.band_due {
+            self.band_dues.remove(&(due, id));
         }
         self.held_tasks -= job.tasks.len();
         if let Some(open) = self.team_open.get_mut(&job.team) {
--- a/crates/core/src/entry/patience.rs
+++ b/crates/core/src/entry/patience.rs
@@ -24,9 +24,9 @@
         patience?.into_iter().max_by_key(|patience| patience.slack)
     }
 
-    /// Puts the waiting tasks of a job that has become late behind those that can still be on time,
-    /// or refuses it where that would be in vain; returns whether anything changed.
-    pub(super) fn demote(&mut self, id: SubmissionId, now: Moment) -> bool {
+    /// Puts the waiting tasks of a job where its band has them, or refuses the job where it is late
+    /// and would wait in vain; returns whether anything changed.
+    pub(super) fn settle_band(&mut self, id: SubmissionId, now: Moment) -> bool {
         let Some(job) = self.jobs.get(&id) else { return false };
         let band = job.band_at(now.elapsed);
         if band == job.band() {
@@ -47,9 +47,8 @@
     fn set_band(&mut self, id: SubmissionId, band: JobBand) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let (service, team, before) = (job.service.clone(), job.team.clone(), job.rank());
-        let due_before = job.patience_due();
         job.set_band(band);
-        let (after, due_after) = (job.rank(), job.patience_due());
+        let after = job.rank();
         let waiting = job.tasks.iter().zip(0u32..);
         let waiting = waiting.filter(|(task, _)| task.state() == TaskState::Queued);
         for (_, index) in waiting {
@@ -58,29 +57,33 @@
                 self.queue.push(&service, &team, task, after);
             }
         }
-        if let Some(due) = due_before {
-            self.patience_dues.remove(&(due, id));
-        }
-        if let Some(due) = due_after {
-            self.patience_dues.insert((due, id));
+    }
+
+    /// Has the band of a job looked at again when it may change.
+    pub(super) fn follow_band(&mut self, id: SubmissionId, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.band_due = job.band_due(now.elapsed);
+        if let Some(due) = job.band_due {
+            self.band_dues.insert((due, id));
         }
     }
 
     /// Follows the jobs that become late, and refuses every one that waited until its answer would
     /// be of no use without a single start.
     pub(super) fn follow_patience(&mut self, now: Moment) {
-        while let Some(&(due, id)) = self.patience_dues.first() {
+        while let Some(&(due, id)) = self.band_dues.first() {
             if due >= now.elapsed {
                 return;
             }
-            self.patience_dues.pop_first();
+            self.band_dues.pop_first();
             let Some(job) = self.jobs.get(&id) else { continue };
             if job.band_at(now.elapsed) == JobBand::Spent && job.is_not_run() {
                 let allowed = job.patience.map_or(0, |patience| millis(patience.useless_after));
                 self.late.note_expired(&job.service, id);
                 self.refuse_waiting(id, "patience_ms", allowed, now);
             } else {
-                self.demote(id, now);
+                self.settle_band(id, now);
+                self.follow_band(id, now);
             }
         }
     }
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -176,6 +176,8 @@
     pub tasks: Vec<HeldTask>,
     /// When its answer is wanted, where its requests say so.
     pub patience: Option<JobPatience>,
+    /// When its band is looked at again.
+    pub band_due: Option<Duration>,
     band: JobBand,
     state: JobState,
     answered: usize,
@@ -204,6 +206,7 @@
             due,
             surcharge: Duration::ZERO,
             patience: None,
+            band_due: None,
             band: JobBand::OnTime,
             claim: None,
             digest: 0,
@@ -249,27 +252,24 @@
         self.arrived + self.surcharge + gap
     }
 
-    /// Band at `now`; a job never goes back to an earlier one.
+    /// Band at `now`; a late job of which something has started is finished before others begin.
     pub fn band_at(&self, now: Duration) -> JobBand {
         let Some(patience) = self.patience else { return self.band };
         let waited = now.saturating_sub(self.arrived);
         if waited > patience.useless_after {
             JobBand::Spent
-        } else if waited > patience.slack {
-            self.band.max(JobBand::Late)
+        } else if waited > patience.slack && self.is_not_run() {
+            JobBand::Late
         } else {
-            self.band
+            JobBand::OnTime
         }
     }
 
-    /// When it leaves its present band, where its requests say so.
-    pub fn patience_due(&self) -> Option<Duration> {
+    /// Next time after `now` at which its band may change, where its requests say so.
+    pub fn band_due(&self, now: Duration) -> Option<Duration> {
         let patience = self.patience?;
-        match self.band {
-            JobBand::OnTime => Some(self.arrived + patience.slack.min(patience.useless_after)),
-            JobBand::Late => Some(self.arrived + patience.useless_after),
-            JobBand::Spent => None,
-        }
+        let dues = [patience.slack, patience.useless_after].map(|after| self.arrived + after);
+        dues.into_iter().filter(|due| *due >= now).min()
     }
 
     /// Moves the job to `band`.
--- a/crates/core/tests/session/main.rs
+++ b/crates/core/tests/session/main.rs
@@ -256,3 +256,16 @@
 
     insta::assert_snapshot!(desk.story());
 }
+
+#[test]
+fn a_late_job_that_has_begun_is_finished_before_others_begin() {
+    let mut desk = SessionDesk::leased(&["a"]);
+    desk.submit(1, "urgent", 3);
+    desk.submit(2, "urgent", 2);
+    desk.pass_ms(60);
+    desk.submit(3, "urgent", 1);
+
+    desk.answer_task(1, 0);
+
+    insta::assert_snapshot!(desk.story());
+}
