Strike real processes with random faults and check what callers and servers see

Entries and agents as processes; the log, the backend servers, every connection and the callers in the test. Kills, freezes, planned stops, held, delayed, reset and silent connections, a log that is away, slow or deaf, slow and failing servers, take-outs, changes and callers' clocks, drawn from a seed, in series and overlapping. Entries can be told the address that peers reach them at, as agents could.

--- a/crates/cli/tests/processes/caller.rs
+++ b/crates/cli/tests/processes/caller.rs
@@ -14,7 +14,12 @@
 
 impl CallerReply {
     pub fn is_whole(&self) -> bool {
-        self.status == Some(200) && serde_json::from_slice::<AnswerBody>(&self.body).is_ok()
+        self.answer().is_some()
+    }
+
+    /// Whole answer.
+    pub fn answer(&self) -> Option<AnswerBody> {
+        serde_json::from_slice(&self.body).ok().filter(|_| self.status == Some(200))
     }
 
     /// Kind of the refusal or failure.
--- a/crates/cli/tests/processes/deployment.rs
+++ b/crates/cli/tests/processes/deployment.rs
@@ -1,6 +1,7 @@
 //! Deployment of real processes with the log and the backend servers as stand-ins.
 
 use crate::caller::{CallerReply, submit};
+use crate::process::{self, address_in, signal, wait_exit};
 use futures_util::future::join_all;
 use parsleyspool_core::config::ConfigChange;
 use parsleyspool_standins::backend::{self, BackendModel, ExampleBackend};
@@ -10,16 +11,14 @@
 use parsleyspool_wire::settings::{ChangeWire, QuotaWire, RequestWire, ServiceWire};
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::Child;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_parsleyspool");
 const DOMAINS: usize = 3;
 /// Polls before a wait is given up; the bound of the whole test is the test runner's.
 pub const POLLS: u32 = 1500;
@@ -62,18 +61,6 @@
     }
 }
 
-/// Address in the field `key` of a log line.
-fn address_in(line: &str, key: &str) -> SocketAddr {
-    let fields = line.split_whitespace().filter_map(|field| field.split_once('='));
-    let value = fields.filter(|(name, _)| *name == key).map(|(_, value)| value).next();
-    value.and_then(|value| value.trim_matches('"').parse().ok()).expect("an address")
-}
-
-fn signal(child: &Child, name: &str) {
-    let status = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
-    assert!(status.expect("kill runs").success());
-}
-
 impl Deployment {
     /// Deployment that serves.
     pub async fn start(entries: usize, agents: usize) -> Self {
@@ -109,22 +96,6 @@
         deployment
     }
 
-    /// Starts a process and returns it with the fields of its line `event=listening`.
-    fn spawn(&self, role: &str, name: &str, settings: &str) -> (Child, String) {
-        let path = self.directory.join(format!("{name}.yaml"));
-        std::fs::write(&path, settings).expect("settings can be written");
-        let mut command = Command::new(PROGRAM);
-        command.arg(role).arg("--settings").arg(&path);
-        command.stdout(Stdio::piped()).stderr(Stdio::null());
-        let mut child = command.spawn().expect("the program starts");
-        let mut lines = BufReader::new(child.stdout.take().expect("a pipe")).lines();
-        let is_listening = |line: &String| line.contains("event=listening");
-        let listening = lines.by_ref().map_while(Result::ok).find(is_listening);
-        let listening = listening.expect("the process says where it listens");
-        std::thread::spawn(move || lines.count());
-        (child, listening)
-    }
-
     fn spawn_entry(&mut self, index: usize) {
         let settings = format!(
             "entry:\n  name: entry-{}\n  domain: domain-{}\n  rank: {index}\n  listen:\n    \
@@ -133,7 +104,8 @@
             index % DOMAINS + 1,
             self.log_address,
         );
-        let (child, line) = self.spawn("entry", &format!("entry-{}", index + 1), &settings);
+        let (child, line) =
+            process::start(&self.directory, "entry", &format!("entry-{}", index + 1), &settings);
         let (callers, peers) = (address_in(&line, "callers"), address_in(&line, "peers"));
         self.entries.push(EntryPlace { callers, peers, child: Some(child) });
     }
@@ -160,7 +132,8 @@
             self.entries[0].peers,
             self.agents[index].backend
         );
-        let (child, line) = self.spawn("agent", &format!("agent-{}", index + 1), &settings);
+        let (child, line) =
+            process::start(&self.directory, "agent", &format!("agent-{}", index + 1), &settings);
         self.agents[index].listen = address_in(&line, "peers");
         self.agents[index].child = Some(child);
     }
@@ -336,8 +309,3 @@
         wait_exit(child).await
     }
 }
-
-async fn wait_exit(child: Child) -> Option<i32> {
-    let mut child = child;
-    tokio::task::spawn_blocking(move || child.wait().ok()?.code()).await.expect("no panic")
-}
--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -5,7 +5,9 @@
 
 mod caller;
 mod deployment;
+mod process;
 mod proofs;
+mod soak;
 mod waits;
 
 use caller::{CallerReply, unwhole};
--- /dev/null
+++ b/crates/cli/tests/processes/process.rs
@@ -0,0 +1,45 @@
+//! Processes of the product, started, signalled and waited for by their ids.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_parsleyspool");
+
+/// Starts a process and returns it with its line `event=listening`.
+///
+/// Its log is kept in the directory, under the name.
+pub fn start(directory: &Path, role: &str, name: &str, settings: &str) -> (Child, String) {
+    let path = directory.join(format!("{name}.yaml"));
+    std::fs::write(&path, settings).expect("settings can be written");
+    let mut command = Command::new(PROGRAM);
+    command.arg(role).arg("--settings").arg(&path);
+    command.stdout(Stdio::piped()).stderr(Stdio::null());
+    let mut child = command.spawn().expect("the program starts");
+    let mut lines = BufReader::new(child.stdout.take().expect("a pipe")).lines();
+    let is_listening = |line: &String| line.contains("event=listening");
+    let listening = lines.by_ref().map_while(Result::ok).find(is_listening);
+    let listening = listening.expect("the process says where it listens");
+    std::thread::spawn(move || lines.count());
+    (child, listening)
+}
+
+/// Address in the field `key` of a log line.
+pub fn address_in(line: &str, key: &str) -> SocketAddr {
+    let fields = line.split_whitespace().filter_map(|field| field.split_once('='));
+    let value = fields.filter(|(name, _)| *name == key).map(|(_, value)| value).next();
+    value.and_then(|value| value.trim_matches('"').parse().ok()).expect("an address")
+}
+
+/// Sends the signal `name` to a process that was started here.
+pub fn signal(child: &Child, name: &str) {
+    let status = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+    assert!(status.expect("kill runs").success());
+}
+
+/// Waits for the end of a process and returns its exit code.
+pub async fn wait_exit(child: Child) -> Option<i32> {
+    let mut child = child;
+    tokio::task::spawn_blocking(move || child.wait().ok()?.code()).await.expect("no panic")
+}
--- /dev/null
+++ b/crates/cli/tests/processes/soak.rs
@@ -0,0 +1,151 @@
+//! Random faults against real processes, with the promises checked while they happen.
+//!
+//! A run starts entries and agents as processes, with the log, the backend servers and every
+//! connection in the test, and strikes them with the faults that its seed gives, in series and
+//! overlapping. Callers keep submitting over the connections that they have. What callers and
+//! backend servers see must hold at every moment, and once the faults end every entry must serve.
+//! Callers' clocks jump; the clocks of the processes are the machine's and stay right.
+
+mod fault;
+mod load;
+mod plan;
+mod promise;
+mod stage;
+
+use load::{SoakCallers, call, job, submit_noted};
+use parsleyspool_standins::backend::ExampleBackend;
+use plan::{SoakShape, plan};
+use stage::SoakStage;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// Seeds and size of the runs of the ignored test: `SEED`, `SEEDS`, `ENTRIES`, `AGENTS`, `SECONDS`.
+const VARIABLE_PREFIX: &str = "PARSLEYSPOOL_SOAK_";
+/// Time between two checks of what backend servers saw.
+const CHECK_PERIOD: Duration = Duration::from_millis(250);
+/// Time after the last fault in which every entry serves again.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// Whole answers in a row that show that an entry serves.
+const SERVED: usize = 5;
+
+/// Seeds of runs that once broke a promise, each with its cause.
+const REGRESSIONS: [u64; 0] = [];
+
+fn small() -> SoakShape {
+    SoakShape { entries: 2, agents: 3, callers: 2, length: Duration::from_secs(6), faults: 8 }
+}
+
+/// Plays the run with `seed` and returns the promises that it broke.
+async fn play(seed: u64, shape: SoakShape) -> Vec<String> {
+    let stage = Arc::new(SoakStage::start(&shape).await);
+    stage.wait_known().await;
+    fault::configure(&stage).await;
+    let planned = plan(seed, &shape);
+    let callers = Arc::new(SoakCallers::default());
+    let numbers =
+        (0..shape.entries).flat_map(|entry| (0..shape.callers).map(move |at| (entry, at)));
+    let calling = numbers
+        .map(|(entry, number)| tokio::spawn(call(stage.clone(), callers.clone(), entry, number)));
+    let calling: Vec<_> = calling.collect();
+    let checking = tokio::spawn(check_on(stage.clone(), callers.clone()));
+    let started = Instant::now();
+    let striking = planned.iter().map(|&planned| {
+        let (stage, callers) = (stage.clone(), callers.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(planned.at.saturating_sub(started.elapsed())).await;
+            fault::strike(&stage, &callers, planned.fault).await;
+        })
+    });
+    for strike in striking.collect::<Vec<_>>() {
+        strike.await.expect("a fault is carried out");
+    }
+    stage.heal().await;
+    callers.lead.store(0, Ordering::SeqCst);
+    recover(&stage).await;
+    callers.is_over.store(true, Ordering::SeqCst);
+    for caller in calling {
+        caller.await.expect("a caller ends");
+    }
+    checking.await.expect("the checks end");
+    stage.record.check_starts(&backends(&stage));
+    stage.record.check_replies();
+    let breaches = stage.record.breaches();
+    println!("seed={seed} outcomes={:?} breaches={}", stage.record.outcomes(), breaches.len());
+    if !breaches.is_empty() {
+        planned.iter().for_each(|planned| println!("  {planned:?}"));
+        breaches.iter().for_each(|breach| println!("  breach: {breach}"));
+    }
+    assert!(stage.record.whole() > 0, "seed {seed}: nothing was served");
+    breaches
+}
+
+fn backends(stage: &SoakStage) -> Vec<Arc<ExampleBackend>> {
+    stage.agents.iter().map(|agent| agent.backend.clone()).collect()
+}
+
+async fn check_on(stage: Arc<SoakStage>, callers: Arc<SoakCallers>) {
+    while !callers.is_over.load(Ordering::SeqCst) {
+        stage.record.check_starts(&backends(&stage));
+        tokio::time::sleep(CHECK_PERIOD).await;
+    }
+}
+
+/// Waits until every entry serves again.
+async fn recover(stage: &SoakStage) {
+    let bound = Instant::now() + RECOVERY;
+    for entry in 0..stage.entries.len() {
+        let mut served = 0;
+        let mut last = String::new();
+        while served < SERVED {
+            let probe = job("balance", &format!("probe-{entry}"), 2, 0);
+            let reply = submit_noted(stage, &stage.client, entry, &probe).await;
+            served = if reply.is_whole() { served + 1 } else { 0 };
+            last = reply.kind().unwrap_or(last);
+            if Instant::now() > bound {
+                stage.record.breach(format!("entry {entry} does not serve again: {last}"));
+                break;
+            }
+        }
+    }
+}
+
+fn variable(name: &str, default: u64) -> u64 {
+    let value = std::env::var(format!("{VARIABLE_PREFIX}{name}")).ok();
+    value.map_or(default, |value| value.parse().expect("a number"))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_promises_hold_under_random_faults() {
+    let breaches = play(1, small()).await;
+
+    assert!(breaches.is_empty(), "{breaches:#?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seeds_that_once_failed_stay_mended() {
+    for seed in REGRESSIONS {
+        let breaches = play(seed, small()).await;
+        assert!(breaches.is_empty(), "seed {seed}: {breaches:#?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "takes minutes; by hand, with the seeds that the environment gives"]
+async fn many_seeds() {
+    let first = variable("SEED", 1);
+    let shape = SoakShape {
+        entries: variable("ENTRIES", 2) as usize,
+        agents: variable("AGENTS", 3) as usize,
+        length: Duration::from_secs(variable("SECONDS", 6)),
+        faults: variable("FAULTS", 8) as usize,
+        ..small()
+    };
+    let mut failed = Vec::new();
+    for seed in first..first + variable("SEEDS", 10) {
+        if !play(seed, shape).await.is_empty() {
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "seeds that broke promises: {failed:?}");
+}
--- /dev/null
+++ b/crates/cli/tests/processes/soak/fault.rs
@@ -0,0 +1,153 @@
+//! How each fault is carried out, and the changes of an operator among them.
+
+use super::load::SoakCallers;
+use super::plan::SoakFault;
+use super::stage::{DOMAINS, SoakStage};
+use parsleyspool_core::config::ConfigChange;
+use parsleyspool_standins::backend::BackendModel;
+use parsleyspool_standins::log::LogFaults;
+use parsleyspool_wire::operator::{ChangeBody, ChangeOutcomeBody, ConfigBody};
+use parsleyspool_wire::settings::{ChangeWire, OrderWire, QuotaWire, RequestWire, ServiceWire};
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Time after the acceptance of a take-out within which the last task starts there.
+const FEW_SECONDS: Duration = Duration::from_secs(5);
+/// Time for which it is watched that none starts.
+const WATCHED: Duration = Duration::from_secs(2);
+/// Times that a change is sent while the first configuration is made.
+const CHANGE_TRIES: usize = 20;
+
+/// Carries `fault` out until its end.
+pub async fn strike(stage: &SoakStage, callers: &SoakCallers, fault: SoakFault) {
+    match fault {
+        SoakFault::Kill(role, down) => stage.kill(role, down).await,
+        SoakFault::Freeze(role, time) => stage.freeze(role, time).await,
+        SoakFault::Stop(role) => stage.stop(role).await,
+        SoakFault::Hold(link, direction, time) => {
+            stage.link(link).hold(Some(direction));
+            tokio::time::sleep(time).await;
+            stage.link(link).hold(None);
+        }
+        SoakFault::Delay(link, delay, time) => {
+            stage.link(link).set_delay(delay);
+            tokio::time::sleep(time).await;
+            stage.link(link).set_delay(Duration::ZERO);
+        }
+        SoakFault::Reset(link) => stage.link(link).reset(),
+        SoakFault::Silence(link, direction) => stage.link(link).silence(direction),
+        SoakFault::LogAway(time) => {
+            harm_log(stage, LogFaults { is_away: true, ..LogFaults::default() }, time).await;
+        }
+        SoakFault::LogSlow(delay, time) => {
+            harm_log(stage, LogFaults { delay, ..LogFaults::default() }, time).await;
+        }
+        SoakFault::LogDeaf(time) => {
+            harm_log(stage, LogFaults { loses_answers: true, ..LogFaults::default() }, time).await;
+        }
+        SoakFault::BackendSlow(index, pace, time) => {
+            let model = BackendModel { pace, ..BackendModel::default() };
+            harm_backend(stage, index, model, time).await;
+        }
+        SoakFault::BackendFails(index, time) => {
+            let model = BackendModel { fails_all: true, ..BackendModel::default() };
+            harm_backend(stage, index, model, time).await;
+        }
+        SoakFault::DomainOut(domain) => take_out(stage, domain).await,
+        SoakFault::ServiceChange => {
+            change(stage, service(Duration::from_secs(9))).await;
+        }
+        SoakFault::ClockJump(lead, time) => {
+            callers.lead.store(lead, Ordering::SeqCst);
+            tokio::time::sleep(time).await;
+            callers.lead.store(0, Ordering::SeqCst);
+        }
+    }
+}
+
+async fn harm_log(stage: &SoakStage, faults: LogFaults, time: Duration) {
+    stage.log.set_faults(faults);
+    tokio::time::sleep(time).await;
+    stage.log.set_faults(LogFaults::default());
+}
+
+async fn harm_backend(stage: &SoakStage, index: usize, model: BackendModel, time: Duration) {
+    let backend = &stage.agents[index].backend;
+    backend.set_model(model);
+    tokio::time::sleep(time).await;
+    backend.set_model(BackendModel::default());
+}
+
+/// Takes a failure domain out of service, watches that nothing starts there, and takes it back.
+async fn take_out(stage: &SoakStage, domain: usize) {
+    let order = |order| ChangeWire::OrderDomain { domain: format!("domain-{}", domain + 1), order };
+    if change(stage, order(OrderWire::OutOfService)).await {
+        tokio::time::sleep(FEW_SECONDS).await;
+        let before = starts_in(stage, domain);
+        tokio::time::sleep(WATCHED).await;
+        let after = starts_in(stage, domain);
+        if before != after {
+            let text = format!("domain {domain} is out and saw {} starts", after - before);
+            stage.record.breach(text);
+        }
+    }
+    change(stage, order(OrderWire::InService)).await;
+}
+
+fn starts_in(stage: &SoakStage, domain: usize) -> u32 {
+    let agents = stage.agents.iter().skip(domain).step_by(DOMAINS);
+    agents.flat_map(|agent| agent.backend.starts()).map(|(_, count)| count).sum()
+}
+
+fn service(deadline: Duration) -> ChangeWire {
+    let rule = |idempotent| RequestWire::new(idempotent, Duration::from_millis(20), 1);
+    let requests =
+        BTreeMap::from([("balance".to_owned(), rule(true)), ("redeem".to_owned(), rule(false))]);
+    let spec = ServiceWire { team: "prizeleaf".to_owned(), deadline, requests };
+    ChangeWire::PutService { name: "tokens".to_owned(), spec }
+}
+
+/// Makes the first configuration.
+pub async fn configure(stage: &SoakStage) {
+    let entries = (1..=stage.entries.len()).map(|number| format!("entry-{number}")).collect();
+    let quota = QuotaWire { tasks_in_flight: 10_000, weight: 1 };
+    let changes = [
+        ChangeWire::SetElectorate { entries },
+        service(Duration::from_secs(10)),
+        ChangeWire::SetQuota { team: "prizeleaf".to_owned(), quota },
+    ];
+    for wanted in changes {
+        let mut tries = 0;
+        while !change(stage, wanted.clone()).await {
+            tries += 1;
+            assert!(tries < CHANGE_TRIES, "{wanted:?} is never accepted");
+        }
+    }
+}
+
+/// Sends a change to one entry after the other until one accepts it; returns whether one did.
+async fn change(stage: &SoakStage, change: ChangeWire) -> bool {
+    for entry in 0..stage.entries.len() {
+        if change_at(stage, entry, &change).await.is_some() {
+            return true;
+        }
+    }
+    false
+}
+
+async fn change_at(stage: &SoakStage, entry: usize, change: &ChangeWire) -> Option<u64> {
+    let peers = stage.operators(entry);
+    let timeout = Duration::from_secs(4);
+    let request = stage.client.get(format!("http://{peers}/v1/config")).timeout(timeout);
+    let config: ConfigBody = request.send().await.ok()?.json().await.ok()?;
+    let subject = ConfigChange::from(change.clone()).subject();
+    let base = config.configuration.subjects.get(&subject.to_string()).copied().unwrap_or(0);
+    let id = uuid::Uuid::new_v4().simple().to_string();
+    let body = ChangeBody { id, operator: "soak".to_owned(), base, change: change.clone() };
+    let request = stage.client.post(format!("http://{peers}/v1/changes")).timeout(timeout);
+    match request.json(&body).send().await.ok()?.json().await.ok()? {
+        ChangeOutcomeBody::Accepted { version } => Some(version),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/processes/soak/promise.rs
@@ -0,0 +1,174 @@
+//! What callers and backend servers saw of a run, and the promises that it must keep.
+
+use super::plan::SoakRole;
+use crate::caller::CallerReply;
+use parsleyspool_standins::backend::ExampleBackend;
+use parsleyspool_wire::caller::SubmitBody;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Deadline of the jobs of a run.
+pub const DEADLINE: Duration = Duration::from_secs(3);
+/// Time beyond the deadline in which a caller has its answer.
+const ANSWER_SLACK: Duration = Duration::from_millis(1500);
+/// Time before the end of a process as planned in which what is sent may meet a closed connection.
+const CLOSING: Duration = Duration::from_millis(300);
+
+/// Time in which a process was away or stood still.
+#[derive(Debug, Clone, Copy)]
+struct ProcessGap {
+    role: SoakRole,
+    since: Instant,
+    until: Instant,
+}
+
+#[derive(Debug, Default)]
+struct RecordState {
+    breaches: BTreeSet<String>,
+    gone: Vec<ProcessGap>,
+    frozen: Vec<ProcessGap>,
+    whole: usize,
+    outcomes: BTreeMap<String, usize>,
+    /// Replies without an answer, which are judged once it is known what was away.
+    broken: Vec<(SoakRole, Instant, Instant)>,
+    /// Replies later than the deadline allows, judged likewise.
+    late: Vec<(SoakRole, Instant, Duration)>,
+    /// Submissions that were refused as not run.
+    not_run: BTreeSet<String>,
+    /// Submissions answered whole, with their number of tasks.
+    complete: BTreeMap<String, u32>,
+}
+
+/// What a run has shown so far.
+#[derive(Debug, Default)]
+pub struct SoakRecord {
+    state: Mutex<RecordState>,
+}
+
+impl SoakRecord {
+    fn state(&self) -> MutexGuard<'_, RecordState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes a promise that was broken.
+    pub fn breach(&self, text: String) {
+        self.state().breaches.insert(text);
+    }
+
+    pub fn breaches(&self) -> Vec<String> {
+        self.state().breaches.iter().cloned().collect()
+    }
+
+    pub fn note_gone(&self, role: SoakRole, since: Instant, until: Instant) {
+        self.state().gone.push(ProcessGap { role, since, until });
+    }
+
+    pub fn note_stopped(&self, role: SoakRole, exit: Instant, until: Instant) {
+        let since = exit.checked_sub(CLOSING).unwrap_or(exit);
+        self.state().gone.push(ProcessGap { role, since, until });
+    }
+
+    pub fn note_frozen(&self, role: SoakRole, since: Instant, until: Instant) {
+        self.state().frozen.push(ProcessGap { role, since, until });
+    }
+
+    /// Notes what a caller of `entry` got for `job`, sent at `sent`.
+    pub fn note_reply(&self, entry: usize, job: &SubmitBody, sent: Instant, reply: &CallerReply) {
+        let role = SoakRole::Entry(entry);
+        let mut state = self.state();
+        let outcome = reply.kind().unwrap_or_else(|| match reply.is_whole() {
+            true => "whole".to_owned(),
+            false => "gone".to_owned(),
+        });
+        *state.outcomes.entry(outcome).or_insert(0) += 1;
+        if reply.took > DEADLINE + ANSWER_SLACK {
+            state.late.push((role, sent, reply.took));
+        }
+        if let Some(answer) = reply.answer() {
+            state.whole += 1;
+            let wanted = job.tasks.iter().map(|task| format!("done {}", task.payload));
+            if !wanted.eq(answer.answers.iter().cloned()) {
+                state.breaches.insert(format!("{} got the answers {:?}", job.job, answer.answers));
+            }
+            let tasks = u32::try_from(job.tasks.len()).unwrap_or(u32::MAX);
+            state.complete.insert(answer.submission, tasks);
+        } else if let Some(error) = reply.error() {
+            if error.not_run {
+                state.not_run.insert(error.submission);
+            }
+        } else {
+            state.broken.push((role, sent, sent + reply.took));
+        }
+    }
+
+    /// Checks what backend servers saw against what callers were told.
+    pub fn check_starts(&self, backends: &[Arc<ExampleBackend>]) {
+        let mut starts: BTreeMap<(String, u32), u32> = BTreeMap::new();
+        let mut keys: BTreeMap<String, u32> = BTreeMap::new();
+        for (start, count) in backends.iter().flat_map(|backend| backend.starts()) {
+            if start.path.ends_with("/redeem") {
+                *keys.entry(start.key).or_insert(0) += count;
+            }
+            *starts.entry((start.submission, start.task)).or_insert(0) += count;
+        }
+        let mut state = self.state();
+        for ((submission, task), count) in starts.iter().filter(|(_, count)| **count > 1) {
+            state.breaches.insert(format!("task {task} of {submission} started {count} times"));
+        }
+        for (key, count) in keys.iter().filter(|(_, count)| **count > 1) {
+            state.breaches.insert(format!("the redemption {key} started {count} times"));
+        }
+        let ran: BTreeSet<&String> = starts.keys().map(|(submission, _)| submission).collect();
+        let untrue: Vec<String> =
+            state.not_run.iter().filter(|id| ran.contains(id)).cloned().collect();
+        for submission in untrue {
+            state.breaches.insert(format!("{submission} was refused as not run and ran"));
+        }
+        let incomplete = state.complete.iter().filter(|(submission, tasks)| {
+            !(0..**tasks).all(|task| starts.contains_key(&((*submission).clone(), task)))
+        });
+        let incomplete: Vec<String> =
+            incomplete.map(|(submission, _)| submission.clone()).collect();
+        for submission in incomplete {
+            state.breaches.insert(format!("{submission} was answered whole without its runs"));
+        }
+    }
+
+    /// Judges the replies that broke off or came late by what was away at their time.
+    pub fn check_replies(&self) {
+        let mut state = self.state();
+        let mut breaches = Vec::new();
+        for &(role, sent, until) in &state.broken {
+            let is_gone = state
+                .gone
+                .iter()
+                .any(|gap| gap.role == role && gap.since <= until && gap.until >= sent);
+            if !is_gone {
+                breaches.push(format!("{role:?} broke off a reply after {:?}", until - sent));
+            }
+        }
+        for &(role, sent, took) in &state.late {
+            let frozen = state.frozen.iter().filter(|gap| gap.role == role);
+            let stood: Duration = frozen.map(|gap| overlap(gap, sent, sent + took)).sum();
+            if took > DEADLINE + ANSWER_SLACK + stood {
+                breaches.push(format!("{role:?} answered after {took:?}"));
+            }
+        }
+        state.breaches.extend(breaches);
+    }
+
+    /// Replies by outcome, for the log of a run.
+    pub fn outcomes(&self) -> BTreeMap<String, usize> {
+        self.state().outcomes.clone()
+    }
+
+    /// Jobs answered whole.
+    pub fn whole(&self) -> usize {
+        self.state().whole
+    }
+}
+
+fn overlap(gap: &ProcessGap, since: Instant, until: Instant) -> Duration {
+    gap.until.min(until).saturating_duration_since(gap.since.max(since))
+}
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -78,6 +78,8 @@
     pub word: LifeWord,
     pub caller_address: SocketAddr,
     pub peer_address: SocketAddr,
+    /// Address of the listener for peers as others are told it.
+    pub advertised: SocketAddr,
     pub poke: Notify,
     /// Routes of the configuration in force.
     pub routes: watch::Sender<Arc<RouteTable>>,
@@ -175,9 +177,11 @@
         rank: settings.rank,
     };
     let machine = EntryMachine::new(identity, settings.entry_limits(), incarnation);
+    let peer_address = peers.local_addr().change_context(DaemonError::Bind)?;
     let shared = Arc::new(EntryShared {
         caller_address: callers.local_addr().change_context(DaemonError::Bind)?,
-        peer_address: peers.local_addr().change_context(DaemonError::Bind)?,
+        peer_address,
+        advertised: settings.listen.advertise.unwrap_or(peer_address),
         settings,
         edges,
         recorder: telemetry.recorder,
--- a/crates/daemon/src/entry/actor.rs
+++ b/crates/daemon/src/entry/actor.rs
@@ -287,7 +287,7 @@
             .filter(|(_, peer)| is_alive(peer))
             .map(|(name, peer)| (name.clone(), peer.address.clone()))
             .collect();
-        entries.insert(self.shared.settings.name.clone(), self.shared.peer_address.to_string());
+        entries.insert(self.shared.settings.name.clone(), self.shared.advertised.to_string());
         DirectiveMessage::new(&self.shared.settings.name, &directive, entries)
     }
 }
--- a/crates/daemon/src/entry/members.rs
+++ b/crates/daemon/src/entry/members.rs
@@ -23,7 +23,7 @@
 
 /// Announces this entry, and again before the record expires.
 pub(crate) async fn announce(incarnation: Incarnation, shared: Arc<EntryShared>) {
-    let step = MemberStep::Present(shared.peer_address.to_string().into());
+    let step = MemberStep::Present(shared.advertised.to_string().into());
     loop {
         let wait = match append(incarnation, step.clone(), &shared).await {
             true => shared.settings.log.retention / 4,
@@ -83,7 +83,7 @@
         known.extend(found.borrow_and_update().clone());
         known.remove(&shared.settings.name);
         let named: Vec<String> = known.values().cloned().collect();
-        let own = shared.peer_address.to_string();
+        let own = shared.advertised.to_string();
         let seeds = shared.settings.seeds.iter().map(ToString::to_string);
         let seeds = seeds.filter(|at| *at != own && !named.contains(at));
         let mut talks = JoinSet::new();
--- a/crates/daemon/src/entry/peers.rs
+++ b/crates/daemon/src/entry/peers.rs
@@ -74,7 +74,7 @@
     while let Ok(position) = address.send(QueryPosition).await {
         let question = PeerQuestion {
             entry: shared.settings.name.clone(),
-            address: shared.peer_address.to_string(),
+            address: shared.advertised.to_string(),
             version: position.version,
             wants_state: !position.is_whole,
         };
--- a/crates/daemon/src/entry/queries.rs
+++ b/crates/daemon/src/entry/queries.rs
@@ -156,7 +156,7 @@
         let own = ProcessBody {
             name: self.shared.settings.name.clone(),
             role: "entry".to_owned(),
-            address: self.shared.peer_address.to_string(),
+            address: self.shared.advertised.to_string(),
             domain: self.shared.settings.domain.clone(),
             worker: String::new(),
             state: self.shared.word.get().to_owned(),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -73,6 +73,9 @@
     pub callers: SocketAddr,
     /// For agents, other entries and operators.
     pub peers: SocketAddr,
+    /// Address under which those reach the listener, where it differs.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertise: Option<SocketAddr>,
 }
 
 /// How the log is reached.
--- a/crates/daemon/src/settings/reference.rs
+++ b/crates/daemon/src/settings/reference.rs
@@ -19,12 +19,17 @@
 }
 
 /// Every key of both kinds of file.
-pub const SETTING_TABLE: [SettingRow; 69] = [
+pub const SETTING_TABLE: [SettingRow; 70] = [
     row("entry.name", "text", "name of the entry, kept over replacements"),
     row("entry.domain", "text", "failure domain of the entry"),
     row("entry.rank", "number", "position among the entries, to keep them out of step"),
     row("entry.listen.callers", "ip:port", "listener for callers"),
     row("entry.listen.peers", "ip:port", "listener for agents, other entries and operators"),
+    row(
+        "entry.listen.advertise",
+        "ip:port",
+        "address under which peers reach it, where it differs",
+    ),
     row("entry.log.url", "URL", "the platform's log"),
     row("entry.log.timeout", "duration", "time after which an append or read is given up"),
     row("entry.log.wait", "duration", "longest wait of one read at the end of a stream"),
--- a/crates/questionnaire/src/generate.rs
+++ b/crates/questionnaire/src/generate.rs
@@ -106,7 +106,7 @@
         name: entry.name.clone(),
         domain: entry.domain.clone(),
         rank: u32::try_from(index).unwrap_or(u32::MAX),
-        listen: EntryListen { callers: entry.callers, peers: entry.peers },
+        listen: EntryListen { callers: entry.callers, peers: entry.peers, advertise: None },
         seeds: Vec::new(),
         log: LogSettings {
             url: answers.log.url.clone(),
--- a/crates/standins/src/embedded.rs
+++ b/crates/standins/src/embedded.rs
@@ -5,7 +5,7 @@
 use crate::backend::{self, BackendModel, ExampleBackend};
 use crate::error::StandinError;
 use crate::log::{LogStreams, server as log_server};
-use crate::proxy::SilentProxy;
+use crate::proxy::LinkProxy;
 use error_stack::{Report, ResultExt};
 use parsleyspool_daemon::agent::{self, AgentDaemon};
 use parsleyspool_daemon::clock::SystemClock;
@@ -138,7 +138,7 @@
             name: entry_name(index),
             domain: domain_name(index % shape.domains),
             rank: u32::try_from(index).unwrap_or(u32::MAX),
-            listen: EntryListen { callers: LOOPBACK, peers: LOOPBACK },
+            listen: EntryListen { callers: LOOPBACK, peers: LOOPBACK, advertise: None },
             seeds: Vec::new(),
             log: LogSettings {
                 url: format!("http://{}", self.log_address),
@@ -178,7 +178,7 @@
     pub async fn add_proxied_server(
         &mut self,
         shape: &EmbeddedShape,
-        proxy: Arc<SilentProxy>,
+        proxy: Arc<LinkProxy>,
     ) -> Result<(), Report<StandinError>> {
         let backend = Arc::new(ExampleBackend::new(BackendModel::default()));
         let (listener, address) = listen().await?;
@@ -186,7 +186,8 @@
         self.backends.push(backend);
         let (agent_listener, agent_address) = listen().await?;
         let (proxy_listener, proxy_address) = listen().await?;
-        self.tasks.push(tokio::spawn(proxy.serve(proxy_listener, agent_address)));
+        proxy.set_target(Some(agent_address));
+        self.tasks.push(tokio::spawn(proxy.serve(proxy_listener)));
         let index = self.agents.len();
         self.add_agent(shape, index, address, agent_listener, Some(proxy_address))
     }
--- a/crates/standins/tests/whole_path.rs
+++ b/crates/standins/tests/whole_path.rs
@@ -1,7 +1,7 @@
 //! The whole path of a request over real sockets, in one process.
 
 use parsleyspool_standins::embedded::{EmbeddedShape, EmbeddedSystem};
-use parsleyspool_standins::proxy::{SilentDirection, SilentProxy};
+use parsleyspool_standins::proxy::{LinkDirection, LinkProxy};
 use parsleyspool_wire::caller::{AnswerBody, ErrorBody, SubmitBody, TaskBody};
 use parsleyspool_wire::operator::{ChangeOutcomeBody, TimelineBody};
 use parsleyspool_wire::record::{AccountStepWire, RefusalWire, decode_account};
@@ -174,7 +174,7 @@
 
 #[tokio::test]
 async fn an_answer_on_a_silent_connection_reaches_its_caller_over_a_new_one() {
-    let proxy = SilentProxy::new();
+    let proxy = LinkProxy::new();
     let shape = EmbeddedShape::small(vec!["tokens".to_owned()]);
     let mut system = EmbeddedSystem::start(&EmbeddedShape { servers: 0, ..shape.clone() })
         .await
@@ -184,7 +184,7 @@
     system.wait_ready(1).await.expect("the server announces itself");
     submit(&system, &job("before", "balance", 4)).await;
 
-    proxy.silence(SilentDirection::Both);
+    proxy.silence(LinkDirection::Both);
     let (status, _) = submit(&system, &job("during", "balance", 4)).await;
 
     assert_eq!(status, 200);
