Close the accounts of a stopping entry once no caller can reach it

Ruled out: jobs in progress (none was open after 3 s). Change: jobs first, then the callers' listener, then the closing record.

--- a/crates/cli/tests/processes/deployment.rs
+++ b/crates/cli/tests/processes/deployment.rs
@@ -250,6 +250,29 @@
         self.spawn_jobs(&[self.entries[entry].callers], count, Duration::ZERO)
     }
 
+    /// Submits one job after the other to an entry for `time`, over the connections that it keeps.
+    pub fn submit_to_for(
+        &self,
+        entry: usize,
+        time: Duration,
+    ) -> impl Future<Output = Vec<CallerReply>> + use<> {
+        let (client, callers) = (self.client.clone(), self.entries[entry].callers);
+        let jobs = self.next_jobs(1000);
+        let until = tokio::time::Instant::now() + time;
+        let calls = tokio::spawn(async move {
+            let mut replies = Vec::new();
+            for job in jobs {
+                if tokio::time::Instant::now() >= until {
+                    break;
+                }
+                replies.push(submit(client.clone(), callers, job).await);
+                tokio::time::sleep(POLL).await;
+            }
+            replies
+        });
+        async { calls.await.expect("no panic") }
+    }
+
     fn spawn_jobs(
         &self,
         places: &[SocketAddr],
--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -12,8 +12,9 @@
 
 use caller::{CallerReply, unwhole};
 use deployment::Deployment;
+use futures_util::future::join_all;
 use parsleyspool_wire::settings::{ChangeWire, OrderWire};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longest time in which every caller must have its answer; the deadline of the jobs and slack.
 const ANSWER_BOUND: Duration = Duration::from_secs(20);
@@ -132,6 +133,24 @@
     deployment.assert_nothing_started_twice();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_of_an_entry_ends_while_callers_go_on() {
+    let mut deployment = Deployment::start(2, 3).await;
+    let calls: Vec<_> =
+        (0..6).map(|_| deployment.submit_to_for(1, Duration::from_secs(6))).collect();
+
+    let began = Instant::now();
+    let code = deployment.stop_entry(1).await;
+
+    assert_eq!(code, Some(0));
+    assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
+    let replies: Vec<CallerReply> = join_all(calls).await.into_iter().flatten().collect();
+    assert!(replies.iter().all(|reply| reply.is_whole()
+        || reply.is_entry_gone()
+        || reply.kind().as_deref() == Some("draining")));
+    deployment.assert_refusals_true(&replies);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_agent_starts_nothing_twice_when_it_wakes() {
     let mut deployment = Deployment::start(2, 3).await;
--- a/crates/cli/tests/processes/process.rs
+++ b/crates/cli/tests/processes/process.rs
@@ -1,6 +1,7 @@
 //! Processes of the product, started, signalled and waited for by their ids.
 
-use std::io::{BufRead, BufReader};
+use std::fs::OpenOptions;
+use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
@@ -9,7 +10,7 @@
 
 /// Starts a process and returns it with its line `event=listening`.
 ///
-/// Its log is kept in the directory, under the name.
+/// Its log is kept in the directory, under its name.
 pub fn start(directory: &Path, role: &str, name: &str, settings: &str) -> (Child, String) {
     let path = directory.join(format!("{name}.yaml"));
     std::fs::write(&path, settings).expect("settings can be written");
@@ -21,7 +22,13 @@
     let is_listening = |line: &String| line.contains("event=listening");
     let listening = lines.by_ref().map_while(Result::ok).find(is_listening);
     let listening = listening.expect("the process says where it listens");
-    std::thread::spawn(move || lines.count());
+    let log =
+        OpenOptions::new().create(true).append(true).open(directory.join(format!("{name}.log")));
+    let mut log = log.expect("the log can be kept");
+    std::thread::spawn(move || {
+        // The directory may go before the process.
+        lines.map_while(Result::ok).try_for_each(|line| writeln!(log, "{line}"))
+    });
     (child, listening)
 }
 
--- a/crates/cli/tests/processes/soak/fault.rs
+++ b/crates/cli/tests/processes/soak/fault.rs
@@ -81,6 +81,7 @@
 
 /// Takes a failure domain out of service, watches that nothing starts there, and takes it back.
 async fn take_out(stage: &SoakStage, domain: usize) {
+    let _held = stage.domain_order.lock().await;
     let order = |order| ChangeWire::OrderDomain { domain: format!("domain-{}", domain + 1), order };
     if change(stage, order(OrderWire::OutOfService)).await {
         tokio::time::sleep(FEW_SECONDS).await;
--- a/crates/cli/tests/processes/soak/promise.rs
+++ b/crates/cli/tests/processes/soak/promise.rs
@@ -33,7 +33,7 @@
     /// Replies without an answer, which are judged once it is known what was away.
     broken: Vec<(SoakRole, Instant, Instant)>,
     /// Replies later than the deadline allows, judged likewise.
-    late: Vec<(SoakRole, Instant, Duration)>,
+    late: Vec<(SoakRole, Instant, Duration, String)>,
     /// Submissions that were refused as not run.
     not_run: BTreeSet<String>,
     /// Submissions answered whole, with their number of tasks.
@@ -81,9 +81,9 @@
             true => "whole".to_owned(),
             false => "gone".to_owned(),
         });
-        *state.outcomes.entry(outcome).or_insert(0) += 1;
+        *state.outcomes.entry(outcome.clone()).or_insert(0) += 1;
         if reply.took > DEADLINE + ANSWER_SLACK {
-            state.late.push((role, sent, reply.took));
+            state.late.push((role, sent, reply.took, format!("{} with {outcome}", job.job)));
         }
         if let Some(answer) = reply.answer() {
             state.whole += 1;
@@ -148,11 +148,11 @@
                 breaches.push(format!("{role:?} broke off a reply after {:?}", until - sent));
             }
         }
-        for &(role, sent, took) in &state.late {
+        for &(role, sent, took, ref what) in &state.late {
             let frozen = state.frozen.iter().filter(|gap| gap.role == role);
             let stood: Duration = frozen.map(|gap| overlap(gap, sent, sent + took)).sum();
             if took > DEADLINE + ANSWER_SLACK + stood {
-                breaches.push(format!("{role:?} answered after {took:?}"));
+                breaches.push(format!("{role:?} answered {what} after {took:?}"));
             }
         }
         state.breaches.extend(breaches);
--- a/crates/cli/tests/processes/soak/stage.rs
+++ b/crates/cli/tests/processes/soak/stage.rs
@@ -66,6 +66,8 @@
     pub agents: Vec<SoakAgent>,
     pub record: SoakRecord,
     pub client: reqwest::Client,
+    /// Held while a failure domain is out, so that no other order takes it back.
+    pub domain_order: Mutex<()>,
     directory: PathBuf,
 }
 
@@ -77,7 +79,11 @@
             let _ = child.kill();
             let _ = child.wait();
         }
-        let _ = std::fs::remove_dir_all(&self.directory);
+        if self.record.breaches().is_empty() {
+            let _ = std::fs::remove_dir_all(&self.directory);
+        } else {
+            println!("  logs: {}", self.directory.display());
+        }
     }
 }
 
@@ -102,6 +108,7 @@
             agents: Vec::new(),
             record: SoakRecord::default(),
             client: reqwest::Client::builder().no_proxy().build().expect("a client"),
+            domain_order: Mutex::new(()),
             directory,
         };
         for _ in 0..shape.entries {
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -72,7 +72,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum EntryPhase {
     Serving,
+    /// Refuses jobs and finishes those that it has.
     Draining,
+    /// No caller can reach it any more.
+    Closing,
 }
 
 /// Failure domain as this entry fills it.
@@ -228,6 +231,7 @@
             EntryEvent::PeerSnapshot(snapshot) => self.take_peer_snapshot(snapshot, now),
             EntryEvent::Tick => self.tick(now),
             EntryEvent::Drain => self.drain(),
+            EntryEvent::CloseAccounts => self.phase = EntryPhase::Closing,
         }
         self.append_claims(now);
         std::mem::take(&mut self.actions)
@@ -278,11 +282,6 @@
         )
     }
 
-    /// Whether a planned stop has nothing left to finish.
-    pub fn is_drained(&self) -> bool {
-        self.phase == EntryPhase::Draining && self.jobs.is_empty()
-    }
-
     /// Whether the closing record of the accounts stands in the log.
     pub fn is_account_closed(&self) -> bool {
         self.book.is_closed()
--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -93,7 +93,7 @@
     fn check_phase(&self, _request: &JobRequest, _now: Moment) -> Result<(), JobError> {
         match self.phase {
             EntryPhase::Serving => Ok(()),
-            EntryPhase::Draining => Err(JobError::plain(ErrorKind::Draining)),
+            EntryPhase::Draining | EntryPhase::Closing => Err(JobError::plain(ErrorKind::Draining)),
         }
     }
 
--- a/crates/core/src/entry/control.rs
+++ b/crates/core/src/entry/control.rs
@@ -340,7 +340,7 @@
     }
 
     fn append_accounts(&mut self, now: Moment) {
-        if self.is_drained() {
+        if self.phase == EntryPhase::Closing && self.jobs.is_empty() {
             self.book.close();
         }
         if !self.book.has_step() || !self.account_pace.admit(self.entries(), now.elapsed) {
--- a/crates/core/src/entry/event.rs
+++ b/crates/core/src/entry/event.rs
@@ -89,6 +89,8 @@
     Tick,
     /// A planned stop begins.
     Drain,
+    /// No caller can come any more, so that the accounts can be closed.
+    CloseAccounts,
 }
 
 /// How far an exchange came before it broke.
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -26,14 +26,14 @@
 use crate::settings::{EntryListen, EntrySettings, LogStream};
 use crate::telemetry::logging::LogControl;
 use crate::telemetry::metrics::DaemonMetrics;
-use actor::{DrainEntry, EntryParts};
+use actor::{CloseAccounts, DrainEntry, EntryParts};
 use error_stack::{Report, ResultExt};
 use parsleyspool_core::entry::{EntryIdentity, EntryMachine};
 use parsleyspool_core::id::Incarnation;
 use parsleyspool_core::lifecycle::LifecycleCharts;
 use parsleyspool_core::route::RouteTable;
 use parsleyspool_core::timeline::{EventFigure, EventKind, TimelineEvent};
-use queries::QueryDrained;
+use queries::{DrainProgress, QueryDrained};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -277,20 +277,21 @@
 }
 
 impl DaemonLife<EntryDaemon, Draining> {
-    /// Waits for the jobs in progress, at most as long as the settings say, and stops.
+    /// Finishes the jobs in progress, takes no further calls and closes the accounts, all at most
+    /// as long as the settings say, and stops.
     pub async fn finish(mut self) -> DaemonLife<EntryDaemon, Stopped> {
         let bound = tokio::time::Instant::now() + self.parts.shared.settings.drain;
-        let unfinished = loop {
-            let left = self.parts.address.send(QueryDrained).await.unwrap_or(0);
-            if left == 0 || tokio::time::Instant::now() >= bound {
-                break left;
-            }
-            tokio::time::sleep(DRAIN_POLL).await;
-        };
-        members::take_leave(self.parts.incarnation, &self.parts.shared).await;
+        let unfinished = self.wait_drained(bound, |progress| progress.jobs == 0).await.jobs;
         if let Some(server) = self.parts.server.take() {
             server.finish().await;
         }
+        // Nobody is refused from here on, so the accounts can end.
+        let _ = self.parts.address.send(CloseAccounts).await;
+        let closed = self.wait_drained(bound, |progress| progress.is_account_closed).await;
+        if !closed.is_account_closed {
+            tracing::warn!(event = "accounts_not_closed");
+        }
+        members::take_leave(self.parts.incarnation, &self.parts.shared).await;
         for task in self.parts.tasks.drain(..) {
             task.abort();
         }
@@ -299,6 +300,21 @@
         self.parts.shared.recorder.record(stopped.figure(unfinished_jobs));
         self.stop(unfinished)
     }
+
+    /// Waits until `is_reached`, at most until `bound`, and returns what is left then.
+    async fn wait_drained(
+        &self,
+        bound: tokio::time::Instant,
+        is_reached: impl Fn(DrainProgress) -> bool,
+    ) -> DrainProgress {
+        loop {
+            let progress = self.parts.address.send(QueryDrained).await.unwrap_or_default();
+            if is_reached(progress) || tokio::time::Instant::now() >= bound {
+                return progress;
+            }
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
 }
 
 impl DaemonLife<EntryDaemon, Serving> {
--- a/crates/daemon/src/entry/actor.rs
+++ b/crates/daemon/src/entry/actor.rs
@@ -361,6 +361,19 @@
     }
 }
 
+/// No caller can come any more.
+#[derive(Debug)]
+pub(crate) struct CloseAccounts;
+
+impl Handler<CloseAccounts> for EntryActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: CloseAccounts, ctx: &mut Context<Self>) {
+        let address = ctx.mailbox().address();
+        self.decide(EntryEvent::CloseAccounts, &address);
+    }
+}
+
 /// A planned stop begins.
 #[derive(Debug)]
 pub(crate) struct DrainEntry;
--- a/crates/daemon/src/entry/queries.rs
+++ b/crates/daemon/src/entry/queries.rs
@@ -193,15 +193,26 @@
     }
 }
 
+/// What a planned stop has left.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct DrainProgress {
+    /// Jobs not yet answered.
+    pub jobs: usize,
+    /// Whether the closing record of the accounts stands in the log.
+    pub is_account_closed: bool,
+}
+
 /// Asks how much of a drain is left.
 #[derive(Debug)]
 pub(crate) struct QueryDrained;
 
 impl Handler<QueryDrained> for EntryActor {
-    type Return = usize;
+    type Return = DrainProgress;
 
-    async fn handle(&mut self, _message: QueryDrained, _ctx: &mut Context<Self>) -> usize {
-        let jobs = self.machine.gauges().jobs;
-        if jobs == 0 && !self.machine.is_account_closed() { 1 } else { jobs }
+    async fn handle(&mut self, _message: QueryDrained, _ctx: &mut Context<Self>) -> DrainProgress {
+        DrainProgress {
+            jobs: self.machine.gauges().jobs,
+            is_account_closed: self.machine.is_account_closed(),
+        }
     }
 }
