Queue nothing behind runs that nobody waits for any more

Ruled out: the entries' freshness (confirmed all the while); idle connections (at most 8). Change: an agent whose slots are held by runs past their deadline takes and keeps proportionally less in its queue, none once all are.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -61,6 +61,8 @@
     held: HashMap<TaskId, HeldStart>,
     queue: BTreeSet<(Duration, TaskId)>,
     running: ServerRoom,
+    /// Slots of runs that go on although nobody waits for them any more.
+    stuck: u32,
     queued: u32,
     /// Clock up to which the tasks of each incarnation of an entry may run on.
     leases: HashMap<Incarnation, Duration>,
@@ -87,6 +89,7 @@
             held: HashMap::new(),
             queue: BTreeSet::new(),
             running: ServerRoom::default(),
+            stuck: 0,
             queued: 0,
             leases: HashMap::new(),
             is_server_leaving: false,
@@ -136,9 +139,12 @@
         }
     }
 
-    /// Slots that may run and queue here together.
+    /// Slots that may run and queue here together; behind stuck runs less may queue.
     pub fn room(&self) -> u32 {
-        self.limits.whole.slots + self.limits.queue
+        let whole = self.limits.whole.slots;
+        let live = u64::from(whole.saturating_sub(self.stuck));
+        let queue = u64::from(self.limits.queue) * live / u64::from(whole.max(1));
+        whole + u32::try_from(queue).unwrap_or(u32::MAX)
     }
 
     /// Room for tasks that run at once.
@@ -242,6 +248,9 @@
         if now.elapsed >= order.start_before {
             return Some(NotStartedReason::TooLate);
         }
+        if self.is_blocked() {
+            return Some(NotStartedReason::Full);
+        }
         let is_known_newer = self.known.version >= order.version;
         if is_known_newer && self.known.is_leaving {
             return Some(NotStartedReason::Leaving);
@@ -378,9 +387,21 @@
     fn tick(&mut self, now: Moment) {
         self.memory.expire(now.elapsed);
         self.end_unleased(now);
+        self.count_stuck(now);
         self.recheck(now);
     }
 
+    fn count_stuck(&mut self, now: Moment) {
+        let running = self.held.values().filter(|held| held.started.is_some());
+        let stuck = running.filter(|held| now.elapsed >= held.order.start_before);
+        self.stuck = stuck.map(|held| held.order.room.slots).sum();
+    }
+
+    /// Whether nothing that waits here can start before a stuck run ends.
+    fn is_blocked(&self) -> bool {
+        self.stuck > 0 && self.stuck >= self.limits.whole.slots
+    }
+
     fn drain(&mut self, now: Moment) {
         self.is_draining = true;
         self.actions.push(AgentAction::Note(TimelineEvent::new(EventKind::ProcessDraining)));
--- a/crates/core/tests/leases.rs
+++ b/crates/core/tests/leases.rs
@@ -189,6 +189,26 @@
     assert!(!agent.is_leaving());
 }
 
+#[test]
+fn what_waits_behind_runs_that_nobody_waits_for_is_given_back() {
+    let mut agent = leased_agent();
+    let whole = agent.whole();
+    renew(&mut agent, 0);
+    let mut stuck = order(0, 1, whole);
+    stuck.start_before = millis(300);
+    start(&mut agent, stuck, 0);
+    start(&mut agent, order(1, 1, one_slot()), 10);
+    renew(&mut agent, 290);
+
+    let given_back = agent.handle(AgentEvent::Tick, at(310));
+    let refused = start(&mut agent, order(2, 1, one_slot()), 320);
+
+    let full = [TaskReply::NotStarted(NotStartedReason::Full)];
+    assert_eq!(replies(&given_back), full);
+    assert_eq!(replies(&refused), full);
+    assert_eq!(agent.room(), whole.slots);
+}
+
 #[test]
 fn a_task_that_waited_over_the_end_of_the_lease_is_not_started_after_its_renewal() {
     let mut agent = leased_agent();
--- a/crates/core/tests/session/desk.rs
+++ b/crates/core/tests/session/desk.rs
@@ -378,6 +378,10 @@
         self.tell("drain", EntryEvent::Drain);
     }
 
+    pub fn close_accounts(&mut self) {
+        self.tell("close accounts", EntryEvent::CloseAccounts);
+    }
+
     /// What came and what was decided, one line each.
     pub fn story(&self) -> &str {
         &self.story
--- a/crates/core/tests/session/main.rs
+++ b/crates/core/tests/session/main.rs
@@ -147,6 +147,9 @@
     desk.drain();
     desk.submit(6, "look", 1);
     desk.pass_ms(50);
+    desk.close_accounts();
+    desk.pass_ms(50);
+    desk.pass_ms(50);
 
     insta::assert_snapshot!(desk.story());
 }
