--- a/crates/core/src/entry/estimate.rs
+++ b/crates/core/src/entry/estimate.rs
@@ -19,12 +19,13 @@
 impl EntryMachine {
     /// Refuses a job whose tasks would not finish before its deadline even if all goes well.
     pub(super) fn check_deadline(&self, request: &JobRequest, now: Moment) -> Result<(), JobError> {
+        // Not all servers are known yet, so nothing can be said of what they will do.
+        if self.is_warming(now) {
+            return Ok(());
+        }
         let spec = find_spec(self.ledger.configuration(), request)?;
         let deadline = request.deadline.unwrap_or(spec.deadline);
         let capacity = self.capacity(&request.service);
-        if capacity.speed == 0.0 && self.is_warming(now) {
-            return Ok(());
-        }
         if capacity.speed == 0.0 {
             let figures = RefusalFigures::new("servers_in_service", 1, 0);
             return Err(JobError::new(ErrorKind::NoServerInService, figures));
--- a/crates/core/src/entry/patience.rs
+++ b/crates/core/src/entry/patience.rs
@@ -32,7 +32,7 @@
         if band == job.band() {
             return false;
         }
-        if band == JobBand::Late && job.is_not_run() {
+        if band == JobBand::Late && job.is_not_run() && !self.is_warming(now) {
             let is_waiting = |other| self.jobs.get(&other).is_some_and(HeldJob::is_not_run);
             if self.late.choose(&job.service, id, is_waiting) == LateChoice::Refuse {
                 let allowed = job.patience.map_or(0, |patience| millis(patience.slack));
@@ -79,7 +79,9 @@
             let Some(job) = self.jobs.get(&id) else { continue };
             if job.band_at(now.elapsed) == JobBand::Spent && job.is_not_run() {
                 let allowed = job.patience.map_or(0, |patience| millis(patience.useless_after));
-                self.late.note_expired(&job.service, id);
+                if !self.is_warming(now) {
+                    self.late.note_expired(&job.service, id);
+                }
                 self.refuse_waiting(id, "patience_ms", allowed, now);
             } else {
                 self.settle_band(id, now);
--- a/crates/core/tests/session/main.rs
+++ b/crates/core/tests/session/main.rs
@@ -272,3 +272,17 @@
 
     insta::assert_snapshot!(desk.story());
 }
+
+#[test]
+fn a_late_job_waits_on_while_the_entry_warms_up() {
+    let mut desk = SessionDesk::warming(&["a"]);
+
+    desk.submit(1, "urgent", 1);
+    desk.pass_ms(100);
+    desk.submit(2, "urgent", 1);
+    desk.pass_ms(210);
+    desk.submit(3, "urgent", 1);
+    desk.greet_all();
+
+    insta::assert_snapshot!(desk.story());
+}
