--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -100,7 +100,7 @@
         if task.state() != TaskState::Queued || job.state() != JobState::Open {
             return PlaceOutcome::Gone;
         }
-        let (service, job_band) = (job.service.clone(), job.band());
+        let (service, band) = (job.service.clone(), job.band());
         let request = task.request.request.clone();
         let (room, declared, failed_on) = (task.room, task.declared, task.failed_on);
         let mut candidates = self.candidates(&service, &request, room, declared, now);
@@ -110,10 +110,11 @@
         let Some(position) = self.policy.choose(&candidates, &mut self.random) else {
             return PlaceOutcome::Wait;
         };
-        if job_band != JobBand::OnTime {
+        if band != JobBand::OnTime {
             self.late.note_started(&service);
         }
         self.send(id, candidates[position], now);
+        // A late job has begun with this and goes ahead of others now.
         self.settle_band(id.submission, now);
         PlaceOutcome::Sent
     }
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -127,9 +127,9 @@
 /// How a job stands to the time in which its answer is wanted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum JobBand {
-    /// It can be answered within its objective.
+    /// It can be answered within its objective, or has begun and is to be finished.
     OnTime,
-    /// Its answer will be late.
+    /// Its answer will be late, and nothing of it has begun.
     Late,
     /// Its answer will be of no use, but may still be waited for.
     Spent,
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -281,7 +281,7 @@
     /// as long as the settings say, and stops.
     pub async fn finish(mut self) -> DaemonLife<EntryDaemon, Stopped> {
         let bound = tokio::time::Instant::now() + self.parts.shared.settings.drain;
-        let unfinished = self.wait_drained(bound, |progress| progress.jobs == 0).await.jobs;
+        let jobs = self.wait_drained(bound, |progress| progress.jobs == 0).await.jobs;
         if let Some(server) = self.parts.server.take() {
             server.finish().await;
         }
@@ -291,6 +291,7 @@
         if !closed.is_account_closed {
             tracing::warn!(event = "accounts_not_closed");
         }
+        let unfinished = jobs.max(usize::from(!closed.is_account_closed));
         members::take_leave(self.parts.incarnation, &self.parts.shared).await;
         for task in self.parts.tasks.drain(..) {
             task.abort();
