--- a/crates/cli/tests/processes/soak.rs
+++ b/crates/cli/tests/processes/soak.rs
@@ -15,13 +15,14 @@
 use futures_util::future::join_all;
 use load::{SoakCallers, call, job, submit_noted};
 use parsleyspool_standins::backend::ExampleBackend;
-use plan::{SoakShape, plan};
+use plan::{PlannedFault, SoakShape, plan};
 use stage::SoakStage;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-/// Seeds and size of the runs of the ignored test: `SEED`, `SEEDS`, `ENTRIES`, `AGENTS`, `SECONDS`.
+/// Seeds and size of the runs of the ignored test: `SEED`, `SEEDS`, `ENTRIES`, `AGENTS`, `SECONDS`
+/// and `FAULTS`.
 const VARIABLE_PREFIX: &str = "PARSLEYSPOOL_SOAK_";
 /// Time between two checks of what backend servers saw.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
@@ -67,6 +68,23 @@
     let calling: Vec<_> = calling.collect();
     tokio::spawn(watch_machine(stage.clone(), callers.clone()));
     let checking = tokio::spawn(check_on(stage.clone(), callers.clone()));
+    strike_all(&stage, &callers, &planned).await;
+    stage.heal();
+    callers.lead.store(0, Ordering::SeqCst);
+    recover(&stage).await;
+    callers.is_over.store(true, Ordering::SeqCst);
+    for ended in join_all(calling).await {
+        ended.expect("a caller ends");
+    }
+    checking.await.expect("the checks end");
+    stage.record.check_starts(&backends(&stage));
+    stage.record.check_replies(&backends(&stage));
+    assert!(stage.record.whole() > 0, "seed {seed}: nothing was served");
+    tell(seed, &planned, &stage)
+}
+
+/// Carries out every fault at its time, and waits for the end of the last.
+async fn strike_all(stage: &Arc<SoakStage>, callers: &Arc<SoakCallers>, planned: &[PlannedFault]) {
     let started = Instant::now();
     let striking = planned.iter().map(|&planned| {
         let (stage, callers) = (stage.clone(), callers.clone());
@@ -75,26 +93,19 @@
             fault::strike(&stage, &callers, planned.fault).await;
         })
     });
-    for strike in striking.collect::<Vec<_>>() {
-        strike.await.expect("a fault is carried out");
+    for struck in join_all(striking.collect::<Vec<_>>()).await {
+        struck.expect("a fault is carried out");
     }
-    stage.heal();
-    callers.lead.store(0, Ordering::SeqCst);
-    recover(&stage).await;
-    callers.is_over.store(true, Ordering::SeqCst);
-    for caller in calling {
-        caller.await.expect("a caller ends");
-    }
-    checking.await.expect("the checks end");
-    stage.record.check_starts(&backends(&stage));
-    stage.record.check_replies(&backends(&stage));
+}
+
+/// Prints how a run ended, with its faults where it broke a promise, and returns what it broke.
+fn tell(seed: u64, planned: &[PlannedFault], stage: &SoakStage) -> Vec<String> {
     let breaches = stage.record.breaches();
     println!("seed={seed} outcomes={:?} breaches={}", stage.record.outcomes(), breaches.len());
     if !breaches.is_empty() {
         planned.iter().for_each(|planned| println!("  {planned:?}"));
         breaches.iter().for_each(|breach| println!("  breach: {breach}"));
     }
-    assert!(stage.record.whole() > 0, "seed {seed}: nothing was served");
     breaches
 }
 
