--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -23,10 +23,10 @@
 use crate::telemetry::logging::LogControl;
 use crate::telemetry::metrics::DaemonMetrics;
 use crate::worker::HttpWorker;
-use actor::{DrainAgent, QueryHeld};
+use actor::{DecideAgent, QueryHeld};
 use entries::EntryBook;
 use error_stack::{Report, ResultExt};
-use parsleyspool_core::agent::AgentMachine;
+use parsleyspool_core::agent::{AgentEvent, AgentMachine};
 use parsleyspool_core::id::{Incarnation, ServerName};
 use parsleyspool_core::lifecycle::LifecycleCharts;
 use parsleyspool_core::timeline::{EventFigure, EventKind, TimelineEvent};
@@ -230,7 +230,7 @@
     /// Begins a planned stop: new starts are refused, queued tasks go back, running ones finish,
     /// and every entry is told.
     pub async fn begin_drain(self) -> DaemonLife<AgentDaemon, Draining> {
-        let _ = self.parts.address.send(DrainAgent).await;
+        let _ = self.parts.address.send(DecideAgent(AgentEvent::Drain)).await;
         heartbeat::beat_once(&self.parts.address, &self.parts.shared).await;
         self.drain()
     }
--- a/crates/daemon/src/agent/actor.rs
+++ b/crates/daemon/src/agent/actor.rs
@@ -241,19 +241,6 @@
     }
 }
 
-/// A planned stop begins.
-#[derive(Debug)]
-pub(crate) struct DrainAgent;
-
-impl Handler<DrainAgent> for AgentActor {
-    type Return = ();
-
-    async fn handle(&mut self, _message: DrainAgent, ctx: &mut Context<Self>) {
-        let address = ctx.mailbox().address();
-        self.decide(AgentEvent::Drain, None, &address);
-    }
-}
-
 /// Asks how many tasks are held.
 #[derive(Debug)]
 pub(crate) struct QueryHeld;
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -26,9 +26,9 @@
 use crate::settings::{EntryListen, EntrySettings, LogStream};
 use crate::telemetry::logging::LogControl;
 use crate::telemetry::metrics::DaemonMetrics;
-use actor::{CloseAccounts, DrainEntry, EntryParts};
+use actor::{Decide, EntryParts};
 use error_stack::{Report, ResultExt};
-use parsleyspool_core::entry::{EntryIdentity, EntryMachine};
+use parsleyspool_core::entry::{EntryEvent, EntryIdentity, EntryMachine};
 use parsleyspool_core::id::Incarnation;
 use parsleyspool_core::lifecycle::LifecycleCharts;
 use parsleyspool_core::route::RouteTable;
@@ -271,7 +271,7 @@
 impl DaemonLife<EntryDaemon, Serving> {
     /// Begins a planned stop: new jobs are refused, jobs in progress are finished.
     pub async fn begin_drain(self) -> DaemonLife<EntryDaemon, Draining> {
-        let _ = self.parts.address.send(DrainEntry).await;
+        let _ = self.parts.address.send(Decide(EntryEvent::Drain)).await;
         self.drain()
     }
 }
@@ -286,7 +286,7 @@
             server.finish().await;
         }
         // Nobody is refused from here on, so the accounts can end.
-        let _ = self.parts.address.send(CloseAccounts).await;
+        let _ = self.parts.address.send(Decide(EntryEvent::CloseAccounts)).await;
         let closed = self.wait_drained(bound, |progress| progress.is_account_closed).await;
         if !closed.is_account_closed {
             tracing::warn!(event = "accounts_not_closed");
--- a/crates/daemon/src/entry/actor.rs
+++ b/crates/daemon/src/entry/actor.rs
@@ -360,29 +360,3 @@
         self.shared.metrics.set_gauges(self.machine.gauges());
     }
 }
-
-/// No caller can come any more.
-#[derive(Debug)]
-pub(crate) struct CloseAccounts;
-
-impl Handler<CloseAccounts> for EntryActor {
-    type Return = ();
-
-    async fn handle(&mut self, _message: CloseAccounts, ctx: &mut Context<Self>) {
-        let address = ctx.mailbox().address();
-        self.decide(EntryEvent::CloseAccounts, &address);
-    }
-}
-
-/// A planned stop begins.
-#[derive(Debug)]
-pub(crate) struct DrainEntry;
-
-impl Handler<DrainEntry> for EntryActor {
-    type Return = ();
-
-    async fn handle(&mut self, _message: DrainEntry, ctx: &mut Context<Self>) {
-        let address = ctx.mailbox().address();
-        self.decide(EntryEvent::Drain, &address);
-    }
-}
