Make the parts of a daemon in one place

An entry, an agent and the adapter each made the same recorder, metrics, exchange and incarnation, and entries and agents each had a struct of the same three parts of telemetry.

--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -15,9 +15,9 @@
 use crate::backend::HttpBackend;
 use crate::edge::{ClockSource, EntryPeer, RunnerEdge};
 use crate::error::DaemonError;
-use crate::exchange::HttpExchange;
 use crate::http::bind;
 use crate::life::{DaemonLife, Draining, LifeWord, ListenerTask, Serving, Starting, Stopped};
+use crate::parts::DaemonParts;
 use crate::recorder::EventRecorder;
 use crate::settings::AgentSettings;
 use crate::telemetry::logging::LogControl;
@@ -27,7 +27,7 @@
 use entries::EntryBook;
 use error_stack::{Report, ResultExt};
 use parsleyspool_core::agent::{AgentEvent, AgentMachine};
-use parsleyspool_core::id::{Incarnation, ServerName};
+use parsleyspool_core::id::ServerName;
 use parsleyspool_core::lifecycle::LifecycleCharts;
 use parsleyspool_core::timeline::{EventFigure, EventKind, TimelineEvent};
 use runs::{AnnounceServer, ServerLeft};
@@ -50,6 +50,13 @@
     pub entries: Arc<dyn EntryPeer>,
 }
 
+impl AgentEdges {
+    /// Edges over HTTP on all sides but that of the backend server.
+    pub fn new(runner: RunnerEdge, parts: &DaemonParts) -> Self {
+        Self { clock: parts.clock.clone(), runner, entries: parts.exchange.clone() }
+    }
+}
+
 /// Parts of a running agent.
 #[derive(Debug)]
 pub struct AgentDaemon {
@@ -78,17 +85,6 @@
 /// Mailbox of the actor, in messages.
 const MAILBOX: usize = 16_384;
 
-/// Telemetry of an agent, made before its edges.
-#[derive(Debug)]
-pub struct AgentTelemetry {
-    /// Recorder.
-    pub recorder: Arc<EventRecorder>,
-    /// Metrics.
-    pub metrics: Arc<DaemonMetrics>,
-    /// Log control.
-    pub control: LogControl,
-}
-
 /// Agent with its listener bound, over HTTP on all sides.
 ///
 /// # Errors
@@ -112,16 +108,9 @@
     control: LogControl,
     clock: Arc<dyn ClockSource>,
 ) -> Result<DaemonLife<AgentDaemon, Starting>, Report<DaemonError>> {
-    let incarnation: Incarnation = rand::random();
-    let metrics = Arc::new(DaemonMetrics::new()?);
-    let capacity = settings.telemetry.events;
-    let recorder = EventRecorder::new(capacity, incarnation, clock.clone(), metrics.clone());
-    let recorder = Arc::new(recorder);
-    let runner = direct_runner(&settings)?;
-    let exchange = Arc::new(HttpExchange::new(recorder.clone(), metrics.clone())?);
-    let edges = AgentEdges { clock, runner, entries: exchange };
-    let telemetry = AgentTelemetry { recorder, metrics, control };
-    start_with(listener, settings, edges, incarnation, telemetry)
+    let parts = DaemonParts::new(&settings.telemetry, control, clock)?;
+    let edges = AgentEdges::new(direct_runner(&settings)?, &parts);
+    start_with(listener, settings, edges, parts)
 }
 
 /// Backend server of the settings over HTTP.
@@ -144,20 +133,19 @@
     listener: TcpListener,
     settings: AgentSettings,
     edges: AgentEdges,
-    incarnation: Incarnation,
-    telemetry: AgentTelemetry,
+    parts: DaemonParts,
 ) -> Result<DaemonLife<AgentDaemon, Starting>, Report<DaemonError>> {
     LifecycleCharts::load().change_context(DaemonError::Charts)?;
     let word = LifeWord::starting();
     let entries = EntryBook::new(&settings);
-    let machine = AgentMachine::new(incarnation, settings.agent_limits());
+    let machine = AgentMachine::new(parts.incarnation, settings.agent_limits());
     let shared = Arc::new(AgentShared {
         address: listener.local_addr().change_context(DaemonError::Bind)?,
         settings,
         edges,
-        recorder: telemetry.recorder,
-        metrics: telemetry.metrics,
-        control: telemetry.control,
+        recorder: parts.recorder,
+        metrics: parts.metrics,
+        control: parts.control,
         word: word.clone(),
         beat: Notify::new(),
         entries: Mutex::new(entries),
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -18,10 +18,10 @@
 
 use crate::edge::{AgentPeer, ClockSource, EntryPeer, LogStore};
 use crate::error::DaemonError;
-use crate::exchange::HttpExchange;
 use crate::http::bind;
 use crate::life::{DaemonLife, Draining, LifeWord, ListenerTask, Serving, Starting, Stopped};
 use crate::log_client::HttpLog;
+use crate::parts::DaemonParts;
 use crate::recorder::EventRecorder;
 use crate::settings::{EntryListen, EntrySettings, LogStream};
 use crate::telemetry::logging::LogControl;
@@ -55,6 +55,18 @@
     pub entries: Arc<dyn EntryPeer>,
 }
 
+impl EntryEdges {
+    /// Edges over HTTP on all sides but the log.
+    pub fn new(log: Arc<dyn LogStore>, parts: &DaemonParts) -> Self {
+        Self {
+            clock: parts.clock.clone(),
+            log,
+            agents: parts.exchange.clone(),
+            entries: parts.exchange.clone(),
+        }
+    }
+}
+
 /// Parts of a running entry.
 #[derive(Debug)]
 pub struct EntryDaemon {
@@ -132,28 +144,11 @@
     control: LogControl,
     clock: Arc<dyn ClockSource>,
 ) -> Result<DaemonLife<EntryDaemon, Starting>, Report<DaemonError>> {
-    let incarnation: Incarnation = rand::random();
-    let metrics = Arc::new(DaemonMetrics::new()?);
-    let capacity = settings.telemetry.events;
-    let recorder = EventRecorder::new(capacity, incarnation, clock.clone(), metrics.clone());
-    let recorder = Arc::new(recorder);
-    let log = HttpLog::new(&settings.log.url, settings.log.timeout)?.with_metrics(metrics.clone());
-    let exchange = Arc::new(HttpExchange::new(recorder.clone(), metrics.clone())?);
-    let edges =
-        EntryEdges { clock, log: Arc::new(log), agents: exchange.clone(), entries: exchange };
-    let telemetry = EntryTelemetry { recorder, metrics, control };
-    start_with(listeners, settings, edges, incarnation, telemetry)
-}
-
-/// Telemetry of an entry, made before its edges.
-#[derive(Debug)]
-pub struct EntryTelemetry {
-    /// Recorder.
-    pub recorder: Arc<EventRecorder>,
-    /// Metrics.
-    pub metrics: Arc<DaemonMetrics>,
-    /// Log control.
-    pub control: LogControl,
+    let parts = DaemonParts::new(&settings.telemetry, control, clock)?;
+    let log = HttpLog::new(&settings.log.url, settings.log.timeout)?;
+    let log = Arc::new(log.with_metrics(parts.metrics.clone()));
+    let edges = EntryEdges::new(log, &parts);
+    start_with(listeners, settings, edges, parts)
 }
 
 /// Entry on other edges; for embedders and benches.
@@ -164,11 +159,11 @@
     listeners: EntryListeners,
     settings: EntrySettings,
     edges: EntryEdges,
-    incarnation: Incarnation,
-    telemetry: EntryTelemetry,
+    parts: DaemonParts,
 ) -> Result<DaemonLife<EntryDaemon, Starting>, Report<DaemonError>> {
     LifecycleCharts::load().change_context(DaemonError::Charts)?;
     let EntryListeners { callers, peers } = listeners;
+    let incarnation = parts.incarnation;
     let word = LifeWord::starting();
     let identity = EntryIdentity {
         name: settings.name.as_str().into(),
@@ -184,9 +179,9 @@
         advertised: settings.listen.advertise.unwrap_or(peer_address),
         settings,
         edges,
-        recorder: telemetry.recorder,
-        metrics: telemetry.metrics,
-        control: telemetry.control,
+        recorder: parts.recorder,
+        metrics: parts.metrics,
+        control: parts.control,
         word: word.clone(),
         poke: Notify::new(),
         routes: watch::Sender::new(Arc::new(RouteTable::default())),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod http;
 pub mod life;
 pub mod log_client;
+pub mod parts;
 pub mod process_http;
 pub mod recorder;
 pub mod settings;
