--- a/crates/core/src/entry/patience.rs
+++ b/crates/core/src/entry/patience.rs
@@ -62,7 +62,7 @@
     /// Has the band of a job looked at again when it may change.
     pub(super) fn follow_band(&mut self, id: SubmissionId, now: Moment) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.band_due = job.band_due(now.elapsed);
+        job.band_due = job.next_band_due(now.elapsed);
         if let Some(due) = job.band_due {
             self.band_dues.insert((due, id));
         }
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -58,6 +58,16 @@
     Failed(JobError),
 }
 
+impl JobAnswer {
+    /// Kind in words, as metrics and logs have it.
+    pub fn kind_name(&self) -> &'static str {
+        match self {
+            Self::Complete(_) => "complete",
+            Self::Failed(error) => error.kind.name(),
+        }
+    }
+}
+
 /// One task of a job held.
 #[derive(Debug)]
 pub struct HeldTask {
@@ -266,7 +276,7 @@
     }
 
     /// Next time after `now` at which its band may change, where its requests say so.
-    pub fn band_due(&self, now: Duration) -> Option<Duration> {
+    pub fn next_band_due(&self, now: Duration) -> Option<Duration> {
         let patience = self.patience?;
         let dues = [patience.slack, patience.useless_after].map(|after| self.arrived + after);
         dues.into_iter().filter(|due| *due >= now).min()
--- a/crates/daemon/src/entry/callers.rs
+++ b/crates/daemon/src/entry/callers.rs
@@ -85,15 +85,17 @@
     took: std::time::Duration,
     shared: &EntryShared,
 ) -> HttpReply {
+    let is_known = !matches!(
+        &answer.answer,
+        JobAnswer::Failed(error) if error.kind == ErrorKind::UnknownTeam
+    );
+    shared.metrics.count_answer(answer.answer.kind_name(), team.filter(|_| is_known));
     match &answer.answer {
         JobAnswer::Complete(answers) => {
-            shared.metrics.count_answer("complete", team);
             shared.metrics.observe_job(took);
             json(StatusCode::OK, &AnswerBody::new(answer.submission, answers))
         }
         JobAnswer::Failed(error) => {
-            let is_known = !matches!(error.kind, ErrorKind::UnknownTeam);
-            shared.metrics.count_answer(error.kind.name(), team.filter(|_| is_known));
             let row = error.kind.answer();
             let status = StatusCode::from_u16(row.status);
             let body = ErrorBody::new(answer.submission, error, answer.version);
--- a/crates/daemon/src/entry/port.rs
+++ b/crates/daemon/src/entry/port.rs
@@ -6,7 +6,7 @@
 use parsleyspool_core::config::ConfigSnapshot;
 use parsleyspool_core::entry::EntryEvent;
 use parsleyspool_core::id::{RequestName, ServiceName, format_id};
-use parsleyspool_core::job::{JobAnswer, JobRequest};
+use parsleyspool_core::job::JobRequest;
 use parsleyspool_core::route::RouteTable;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -124,15 +124,11 @@
 }
 
 fn write_line(job: &str, deadline: Option<Duration>, answer: &CallerAnswer, took: Duration) {
-    let kind = match &answer.answer {
-        JobAnswer::Complete(_) => "complete",
-        JobAnswer::Failed(error) => error.kind.name(),
-    };
     tracing::info!(
         event = "answered",
         job,
         submission = format_id(answer.submission),
-        answer = kind,
+        answer = answer.answer.kind_name(),
         version = answer.version,
         deadline_ms = deadline.map(|deadline| deadline.as_millis()),
         took_ms = took.as_millis()
--- a/crates/daemon/src/recorder.rs
+++ b/crates/daemon/src/recorder.rs
@@ -48,10 +48,12 @@
     /// Records `event` as of now.
     pub fn record(&self, event: TimelineEvent) {
         self.metrics.count_event(event.kind);
+        let is_detail = is_detail(&event);
+        let is_written = !is_detail || tracing::enabled!(tracing::Level::DEBUG);
         let now = self.clock.now();
         let mut state = self.state();
-        if is_written(&event) && state.lines.admit(now.elapsed) {
-            write_line(&event);
+        if is_written && state.lines.admit(now.elapsed) {
+            write_line(&event, is_detail);
         }
         let stamp = state.hybrid.tick(now);
         state.ring.push(TimelineEvent { stamp, ..event });
@@ -84,7 +86,6 @@
 /// Whether an event is a step that went well, which is written only at the debug level.
 fn is_detail(event: &TimelineEvent) -> bool {
     use EventKind as K;
-    let is_answered = event.figures.contains(&EventFigure::Result(RunWord::Answered));
     match event.kind {
         K::JobComplete
         | K::ClaimSent
@@ -93,15 +94,11 @@
         | K::TaskAnswered
         | K::AgentQueued
         | K::AgentStarted => true,
-        K::AgentFinished => is_answered,
+        K::AgentFinished => event.figures.contains(&EventFigure::Result(RunWord::Answered)),
         _ => false,
     }
 }
 
-fn is_written(event: &TimelineEvent) -> bool {
-    !is_detail(event) || tracing::enabled!(tracing::Level::DEBUG)
-}
-
 /// Lines written in one second, so that a storm of events does not become one of lines.
 #[derive(Debug, Default)]
 struct LineBudget {
@@ -129,13 +126,13 @@
     }
 }
 
-fn write_line(event: &TimelineEvent) {
+fn write_line(event: &TimelineEvent, is_detail: bool) {
     let name = event.kind.name();
     let submission = event.submission.map(parsleyspool_core::id::format_id);
     let subject = event.subject.as_deref();
     let figures: Vec<String> = event.figures.iter().map(ToString::to_string).collect();
     let figures = figures.join(" ");
-    if is_detail(event) {
+    if is_detail {
         tracing::debug!(event = name, submission, task = event.task, subject, figures);
     } else {
         tracing::info!(event = name, submission, task = event.task, subject, figures);
