--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -15,6 +15,7 @@
 mod answer;
 mod event;
 mod memory;
+mod room;
 mod server;
 
 pub use event::{AgentAction, AgentEvent, AgentLimits, RunResult, ServerOffer};
@@ -139,14 +140,6 @@
         }
     }
 
-    /// Slots that may run and queue here together; behind stuck runs less may queue.
-    pub fn room(&self) -> u32 {
-        let whole = self.limits.whole.slots;
-        let live = u64::from(whole.saturating_sub(self.stuck));
-        let queue = u64::from(self.limits.queue) * live / u64::from(whole.max(1));
-        whole + u32::try_from(queue).unwrap_or(u32::MAX)
-    }
-
     /// Room for tasks that run at once.
     pub fn whole(&self) -> ServerRoom {
         self.limits.whole
@@ -162,11 +155,6 @@
         self.is_draining || self.known.is_leaving || self.is_server_leaving || self.is_server_silent
     }
 
-    /// Whether a planned stop has nothing left to finish.
-    pub fn is_drained(&self) -> bool {
-        self.is_draining && self.held.is_empty()
-    }
-
     /// Tasks running and queued.
     pub fn held(&self) -> usize {
         self.held.len()
@@ -391,17 +379,6 @@
         self.recheck(now);
     }
 
-    fn count_stuck(&mut self, now: Moment) {
-        let running = self.held.values().filter(|held| held.started.is_some());
-        let stuck = running.filter(|held| now.elapsed >= held.order.start_before);
-        self.stuck = stuck.map(|held| held.order.room.slots).sum();
-    }
-
-    /// Whether nothing that waits here can start before a stuck run ends.
-    fn is_blocked(&self) -> bool {
-        self.stuck > 0 && self.stuck >= self.limits.whole.slots
-    }
-
     fn drain(&mut self, now: Moment) {
         self.is_draining = true;
         self.actions.push(AgentAction::Note(TimelineEvent::new(EventKind::ProcessDraining)));
--- a/crates/core/tests/explore/world.rs
+++ b/crates/core/tests/explore/world.rs
@@ -1,14 +1,17 @@
 //! World around the decision parts: processes, messages under way, the log and the operators.
 
 mod control;
+mod figures;
 mod network;
 mod processes;
 
+pub use figures::WorldFigures;
+
 use crate::fault::PlantedFault;
 use crate::step::Step;
 use bytes::Bytes;
 use parsleyspool_core::agent::{AgentAction, AgentEvent, AgentLimits, AgentMachine, RunResult};
-use parsleyspool_core::checker::{CheckGrace, ObservedEvent, Promise, PromiseBreach, check};
+use parsleyspool_core::checker::{ObservedEvent, Promise};
 use parsleyspool_core::claim::ClaimStep;
 use parsleyspool_core::config::{
     ChangeRecord, ConfigChange, ConfigLedger, ConfigRecord, ConfigSubject, DomainOrder,
@@ -25,8 +28,6 @@
 use parsleyspool_core::time::{HybridClock, Moment};
 use parsleyspool_core::timeline::{EventFigure, EventKind, TimelineEvent};
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::fmt;
-use std::fmt::Write as _;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
@@ -96,49 +97,6 @@
     },
 }
 
-/// Figures of one or more worlds.
-#[derive(Debug, Default, Clone, Copy)]
-pub struct WorldFigures {
-    submissions: usize,
-    starts: usize,
-    complete: usize,
-    refused: usize,
-    failed: usize,
-    crashes: usize,
-    lost: usize,
-    doubled: usize,
-}
-
-impl WorldFigures {
-    pub fn add(&mut self, other: &Self) {
-        self.submissions += other.submissions;
-        self.starts += other.starts;
-        self.complete += other.complete;
-        self.refused += other.refused;
-        self.failed += other.failed;
-        self.crashes += other.crashes;
-        self.lost += other.lost;
-        self.doubled += other.doubled;
-    }
-}
-
-impl fmt::Display for WorldFigures {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "submissions={} starts={} complete={} refused={} failed={} crashes={} lost={} doubled={}",
-            self.submissions,
-            self.starts,
-            self.complete,
-            self.refused,
-            self.failed,
-            self.crashes,
-            self.lost,
-            self.doubled
-        )
-    }
-}
-
 pub struct World {
     fault: PlantedFault,
     now: Duration,
@@ -412,39 +370,6 @@
         (self.messages.len(), self.claims.len(), self.is_log_away).hash(&mut hasher);
         self.states.insert(hasher.finish());
     }
-
-    pub fn states(&self) -> impl Iterator<Item = u64> + '_ {
-        self.states.iter().copied()
-    }
-
-    pub fn figures(&self) -> WorldFigures {
-        let report = check(&self.events, CheckGrace::default());
-        WorldFigures { submissions: report.submissions, starts: report.starts, ..self.figures }
-    }
-
-    pub fn breaches(&self) -> Vec<PromiseBreach> {
-        let mut breaches = check(&self.events, CheckGrace::default()).breaches;
-        let wrong = self.wrong_answers.iter().map(|(promise, text)| PromiseBreach {
-            promise: *promise,
-            process: "world".into(),
-            stamp: parsleyspool_core::time::Stamp::default(),
-            text: text.clone(),
-        });
-        breaches.extend(wrong);
-        breaches
-    }
-
-    /// Events of the run, one a line.
-    pub fn story(&self) -> String {
-        let mut events: Vec<&ObservedEvent> = self.events.iter().collect();
-        events.sort_by_key(|observed| observed.event.stamp);
-        let mut story = String::new();
-        for observed in events {
-            let at = observed.event.stamp.wall_us / 1000 - 1_000_000_000;
-            let _ = writeln!(story, "{at} {} {}", observed.process, observed.event);
-        }
-        story
-    }
 }
 
 fn agent_at(address: &str) -> usize {
--- a/crates/core/tests/session/desk.rs
+++ b/crates/core/tests/session/desk.rs
@@ -1,5 +1,7 @@
 //! Desk at which a session is played: one entry, its servers in name only, and the log.
 
+mod story;
+
 use bytes::Bytes;
 use parsleyspool_core::claim::ClaimStep;
 use parsleyspool_core::config::{
@@ -8,11 +10,11 @@
 };
 use parsleyspool_core::directory::ServerReport;
 use parsleyspool_core::entry::{
-    BrokenReach, EntryAction, EntryEvent, EntryIdentity, EntryLimits, EntryMachine,
-    NotStartedReason, SentStart, StreamRead, TaskReply,
+    BrokenReach, EntryEvent, EntryIdentity, EntryLimits, EntryMachine, NotStartedReason, SentStart,
+    StreamRead, TaskReply,
 };
 use parsleyspool_core::id::submission_id;
-use parsleyspool_core::job::{JobAnswer, JobRequest, TaskRequest};
+use parsleyspool_core::job::{JobRequest, TaskRequest};
 use parsleyspool_core::room::ServerRoom;
 use parsleyspool_core::time::Moment;
 use std::collections::BTreeMap;
@@ -157,60 +159,6 @@
         }
     }
 
-    fn note(&mut self, action: &EntryAction) {
-        let line = match action {
-            EntryAction::Answer { ticket, answer, version, .. } => {
-                format!("answer ticket={ticket} version={version} {}", describe(answer))
-            }
-            EntryAction::Start { address, order } => {
-                let ticket = self.ticket_of(order.task.submission);
-                self.starts.insert((ticket, order.task.index), order.sent_start());
-                format!(
-                    "start at={address} task={} attempt={} version={} permit_until_ms={}",
-                    order.task.index,
-                    order.attempt,
-                    order.version,
-                    order.permit_until.as_millis()
-                )
-            }
-            EntryAction::Ask { address, start, .. } => {
-                format!("ask at={address} task={} attempt={}", start.task.index, start.attempt)
-            }
-            EntryAction::CancelTask { address, task, .. } => {
-                format!("cancel at={address} task={}", task.index)
-            }
-            EntryAction::AppendClaims(steps) => {
-                self.appends.push(!self.loses_claims);
-                if !self.loses_claims {
-                    self.claims.push(steps.clone());
-                }
-                let word = |step: &ClaimStep| match step {
-                    ClaimStep::Claim { submission, .. } => format!("claim:{}", *submission as u64),
-                    ClaimStep::Release { submission, .. } => {
-                        format!("release:{}", *submission as u64)
-                    }
-                };
-                format!("append claims {}", steps.iter().map(word).collect::<Vec<_>>().join(" "))
-            }
-            EntryAction::AppendAccounts(step) => match step {
-                parsleyspool_core::account::AccountStep::Batch(batch) => {
-                    let kinds = batch.records.iter();
-                    let kinds: Vec<_> = kinds
-                        .map(|record| format!("{}:{}", record.sequence, record.error.kind.name()))
-                        .collect();
-                    format!("append accounts {}", kinds.join(" "))
-                }
-                other => format!("append accounts {other:?}"),
-            },
-            EntryAction::AppendSnapshot(_) => "append snapshot".to_owned(),
-            EntryAction::Note(event) => {
-                let text = event.to_string();
-                text.replace("submission=0000000000000001000000000000000", "submission=")
-            }
-        };
-        let _ = writeln!(self.story, "  {line}");
-    }
-
     fn ticket_of(&self, submission: u128) -> u64 {
         let found = self.submissions.iter().find(|(_, id)| **id == submission);
         found.map_or(0, |(ticket, _)| *ticket)
@@ -387,20 +335,3 @@
         &self.story
     }
 }
-
-fn describe(answer: &JobAnswer) -> String {
-    match answer {
-        JobAnswer::Complete(answers) => {
-            let texts = answers.iter().map(|bytes| String::from_utf8_lossy(bytes).into_owned());
-            format!("complete {}", texts.collect::<Vec<_>>().join(", "))
-        }
-        JobAnswer::Failed(error) => format!(
-            "{} not_run={} limit={} allowed={} actual={}",
-            error.kind.name(),
-            error.not_run,
-            error.figures.limit,
-            error.figures.allowed,
-            error.figures.actual
-        ),
-    }
-}
