--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -12,10 +12,12 @@
 //! therefore never reverts a change that was appended concurrently.
 
 mod change;
+mod fetch;
 mod ledger;
 mod republish;
 
 pub use change::{ChangeRecord, ConfigChange, ConfigSubject};
+pub use fetch::{ConfigFetch, FetchDecision, VersionGap};
 pub use ledger::{ApplyOutcome, ConfigLedger, ConfigRecord, ConfigSnapshot};
 pub use republish::SnapshotSchedule;
 
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -41,7 +41,7 @@
 
 use crate::audit_log::{RefusalBuffer, RefusalRecord};
 use crate::claim::{ClaimKey, ClaimLedger, ClaimStep};
-use crate::config::{ConfigLedger, SnapshotSchedule};
+use crate::config::{ConfigFetch, ConfigLedger, FetchDecision, SnapshotSchedule, VersionGap};
 use crate::directory::{RunTimes, ServerDirectory};
 use crate::error::JobError;
 use crate::freshness::{FreshnessLease, FreshnessStatus, PeerReport};
@@ -137,6 +137,7 @@
     identity: EntryIdentity,
     limits: EntryLimits,
     ledger: ConfigLedger,
+    config_fetch: ConfigFetch,
     snapshot_schedule: SnapshotSchedule,
     claims: ClaimLedger,
     claim_limiter: AppendLimiter,
@@ -189,6 +190,7 @@
             SnapshotSchedule::new(limits.snapshot_records, limits.retention, delay);
         Self {
             ledger: ConfigLedger::new(),
+            config_fetch: ConfigFetch::default(),
             snapshot_schedule,
             claims: ClaimLedger::new(limits.claim_window + limits.longest_deadline),
             claim_limiter: AppendLimiter::new(limits.claim_appends),
@@ -286,6 +288,19 @@
         self.freshness.report(self.ledger.configuration().version, now.elapsed)
     }
 
+    /// Decides what to ask of the entry that last reported the version `reported`. The caller
+    /// reports the end of a fetch with [`Self::end_config_fetch`].
+    pub fn decide_config_fetch(&mut self, reported: Option<Version>, now: Moment) -> FetchDecision {
+        let is_incomplete = !self.ledger.is_complete();
+        let gap = VersionGap { own: self.version(), reported, is_incomplete };
+        self.config_fetch.decide(gap, now.elapsed)
+    }
+
+    /// Records the end of a fetch of the configuration, with or without an answer.
+    pub fn end_config_fetch(&mut self) {
+        self.config_fetch.end();
+    }
+
     /// Tasks of each team accepted at this entry and not yet answered.
     pub fn team_load(&self) -> &HashMap<TeamName, u32> {
         &self.team_load
--- a/crates/core/src/entry/control_plane.rs
+++ b/crates/core/src/entry/control_plane.rs
@@ -67,6 +67,7 @@
         if version == before {
             return;
         }
+        self.config_fetch.record_progress();
         let applied = TimelineEvent::new(EventKind::ConfigApplied);
         self.record_event(applied.field(EventField::Version(version)));
         let availabilities: Vec<(DomainName, DomainAvailability)> = {
--- a/crates/daemon/src/entry/actor.rs
+++ b/crates/daemon/src/entry/actor.rs
@@ -325,8 +325,7 @@
         let load = load.map(|(team, open)| (team.to_string(), *open)).collect();
         let mut answer = PeerStateMessage::new(&report, load);
         let ledger = self.machine.ledger();
-        let is_ahead = report.version > query.version || query.wants_state;
-        if is_ahead && ledger.is_complete() {
+        if query.wants_state && ledger.is_complete() {
             answer.state = Some(ledger.configuration().into());
         }
         answer
--- a/crates/daemon/src/entry/peer_http.rs
+++ b/crates/daemon/src/entry/peer_http.rs
@@ -3,7 +3,7 @@
 use super::EntryShared;
 use super::actor::{EntryActor, HandleHeartbeat, HandlePeerState, QueryPeerState};
 use super::operator_http;
-use super::queries::QueryPosition;
+use super::queries::{EndConfigFetch, PrepareStateQuery};
 use crate::http::{
     HttpReply, decode_envelope, error_reply, handle_rejection, message_body, message_reply,
 };
@@ -84,22 +84,22 @@
     address: Address<EntryActor>,
     shared: Arc<EntryShared>,
 ) {
-    while let Ok(position) = address.send(QueryPosition).await {
-        let query = PeerStateQuery {
-            entry: shared.settings.name.clone(),
-            address: shared.advertised_address.to_string(),
-            version: position.version,
-            wants_state: !position.is_complete,
-        };
+    let mut reported = None;
+    while let Ok(query) = address.send(PrepareStateQuery { reported }).await {
+        let is_fetch = query.wants_state;
         let requested_at = shared.interfaces.clock.now().elapsed;
         let answer =
             shared.interfaces.entries.fetch_state(peer_address.as_str().into(), query).await;
         let is_expected_entry =
             |answer: &PeerStateMessage| name.as_ref().is_none_or(|name| answer.entry == *name);
         if let Some(answer) = answer.filter(is_expected_entry) {
+            reported = Some(answer.version);
             let message = HandlePeerState { address: peer_address.clone(), answer, requested_at };
             let _ = address.send(message).await;
         }
+        if is_fetch {
+            let _ = address.send(EndConfigFetch).await;
+        }
         let wakeup = shared.peer_poll_wakeup.notified();
         let _ = tokio::time::timeout(PEER_POLL_INTERVAL, wakeup).await;
     }
--- a/crates/daemon/src/entry/queries.rs
+++ b/crates/daemon/src/entry/queries.rs
@@ -3,20 +3,19 @@
 use super::actor::EntryActor;
 use super::handle::EntryReadiness;
 use parsleyspool_core::chart::ChartSymbol;
-use parsleyspool_core::config::ApplyOutcome;
+use parsleyspool_core::config::{ApplyOutcome, FetchDecision};
 use parsleyspool_core::freshness::FreshnessStatus;
 use parsleyspool_core::id::{ChangeId, Offset, RequestName, ServiceName, Version};
 use parsleyspool_wire::operator::{ConfigBody, ProcessBody, StatusBody};
+use parsleyspool_wire::peer::PeerStateQuery;
 use std::time::Duration;
 use xtra::prelude::*;
 
-/// Read positions and configuration version, for the log readers and the polling of entries.
+/// Read positions of the log readers.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct StreamPosition {
     pub next_config_offset: Offset,
     pub next_claim_offset: Offset,
-    pub version: Version,
-    pub is_complete: bool,
 }
 
 /// Queries the [`StreamPosition`].
@@ -31,16 +30,50 @@
         _message: QueryPosition,
         _ctx: &mut Context<Self>,
     ) -> StreamPosition {
-        let ledger = self.machine.ledger();
         StreamPosition {
-            next_config_offset: ledger.next_offset(),
+            next_config_offset: self.machine.ledger().next_offset(),
             next_claim_offset: self.machine.next_claim_offset(),
-            version: ledger.configuration().version,
-            is_complete: ledger.is_complete(),
         }
     }
 }
 
+/// Prepares the next state query to another entry, which last reported `reported` as its version.
+#[derive(Debug)]
+pub(crate) struct PrepareStateQuery {
+    pub reported: Option<Version>,
+}
+
+impl Handler<PrepareStateQuery> for EntryActor {
+    type Return = PeerStateQuery;
+
+    async fn handle(
+        &mut self,
+        message: PrepareStateQuery,
+        _ctx: &mut Context<Self>,
+    ) -> PeerStateQuery {
+        let now = self.shared.interfaces.clock.now();
+        let decision = self.machine.decide_config_fetch(message.reported, now);
+        PeerStateQuery {
+            entry: self.shared.settings.name.clone(),
+            address: self.shared.advertised_address.to_string(),
+            version: self.machine.ledger().configuration().version,
+            wants_state: decision == FetchDecision::Configuration,
+        }
+    }
+}
+
+/// Ends the fetch of the configuration that [`PrepareStateQuery`] began.
+#[derive(Debug)]
+pub(crate) struct EndConfigFetch;
+
+impl Handler<EndConfigFetch> for EntryActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: EndConfigFetch, _ctx: &mut Context<Self>) {
+        self.machine.end_config_fetch();
+    }
+}
+
 /// Queries the [`EntryReadiness`].
 #[derive(Debug)]
 pub(crate) struct QueryReadiness;
--- a/crates/daemon/src/peer_client.rs
+++ b/crates/daemon/src/peer_client.rs
@@ -40,6 +40,8 @@
 const STATUS_QUERY_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time limit for the answer to a heartbeat, a cancellation or a state query.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit for an answer with a configuration, which may have thousands of routes.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Kind of connection that a message may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -214,7 +216,8 @@
         async move {
             self.metrics.count_message(MessageKind::PeerState);
             let mode = ConnectionMode::Pooled;
-            self.send(&address, "/peer/state", message, mode, CONTROL_TIMEOUT).await.ok()
+            let timeout = if message.wants_state { FETCH_TIMEOUT } else { CONTROL_TIMEOUT };
+            self.send(&address, "/peer/state", message, mode, timeout).await.ok()
         }
         .boxed()
     }
--- a/crates/wire/src/peer/control.rs
+++ b/crates/wire/src/peer/control.rs
@@ -166,11 +166,9 @@
     pub entry: String,
     /// Peer address of the querying entry, as `ip:port`.
     pub address: String,
-    /// Configuration version of the querying entry; the answer contains the configuration if the
-    /// other entry has a higher version.
+    /// Configuration version of the querying entry.
     pub version: u64,
-    /// Whether the answer should contain the configuration at any version, since the querying entry
-    /// has no complete configuration.
+    /// Whether the answer should contain the configuration.
     pub wants_state: bool,
 }
 
@@ -190,7 +188,7 @@
     pub confirmed_age_us: Option<u64>,
     /// Number of accepted and not yet answered tasks of each team at the answering entry.
     pub team_load: BTreeMap<String, u32>,
-    /// Configuration of the answering entry; `None` if the querying entry does not need it or the
+    /// Configuration of the answering entry; `None` if the query does not ask for it or the
     /// answering entry has no complete one.
     pub state: Option<ConfigurationWire>,
 }
