Say in each refusal which limit and which belief decided

Cause: job_refused read kind=overloaded not_run=true, and agent_refused and task_returned why=full, so an engineer could not tell the limit, the value compared with it, or how old the entry's knowledge of the servers was.

Change: job_refused and job_failed name the limit with its two values, the number of servers that offer the service and the greatest age of their load reports; agent_refused names load, demand and limit; task_returned names the load that the entry believed when it sent the start, and its age. The limits became an enum, so timelines can be parsed.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -281,7 +281,7 @@
         now: Moment,
     ) {
         let task = request.task;
-        self.record_event(EventKind::AgentRefused, task, &[EventField::Why(reason)]);
+        self.record_refused(request, reason);
         let reply = TaskReply::NotStarted(reason);
         if !self.outcomes.is_full() {
             self.outcomes.store(task, request.attempt, reply.clone(), now.elapsed);
@@ -324,7 +324,7 @@
         let Some(accepted) = self.tasks.remove(&task) else { return };
         self.queued_slots -= accepted.request.demand.slots;
         self.release_entry_slots(&accepted);
-        self.record_event(EventKind::AgentRefused, task, &[EventField::Why(reason)]);
+        self.record_refused(&accepted.request, reason);
         self.complete(&accepted, TaskReply::NotStarted(reason), now);
     }
 
--- a/crates/core/src/agent/capacity.rs
+++ b/crates/core/src/agent/capacity.rs
@@ -1,11 +1,11 @@
 //! Slots for running and queued tasks, and slots occupied by stuck runs.
 //!
 //! A run is stuck if it continues after [`StartRequest::start_before`], the deadline of its job.
-//!
-//! [`StartRequest::start_before`]: crate::entry::StartRequest::start_before
 
 use super::AgentMachine;
+use crate::entry::{NotStartedReason, StartRequest};
 use crate::time::Moment;
+use crate::timeline::{EventField, EventKind};
 
 impl AgentMachine {
     /// Slots that running and queued tasks may take together. The queue shrinks in proportion to
@@ -29,4 +29,16 @@
     pub(super) fn is_blocked(&self) -> bool {
         self.stuck_slots > 0 && self.stuck_slots >= self.limits.capacity.slots
     }
+
+    /// Records that a start is refused; if there is no room for it, with the slots that decided.
+    pub(super) fn record_refused(&mut self, request: &StartRequest, reason: NotStartedReason) {
+        let mut fields = vec![EventField::Why(reason)];
+        if reason == NotStartedReason::Full {
+            let load = self.used_capacity.slots + self.queued_slots;
+            fields.push(EventField::Load(load.into()));
+            fields.push(EventField::Demand(request.demand.slots.into()));
+            fields.push(EventField::LoadLimit(self.admission_slots().into()));
+        }
+        self.record_event(EventKind::AgentRefused, request.task, &fields);
+    }
 }
--- a/crates/core/src/directory/server.rs
+++ b/crates/core/src/directory/server.rs
@@ -78,6 +78,7 @@
 pub struct ServerRecord {
     report: ServerReport,
     last_heartbeat: Duration,
+    load_at: Duration,
     state: ServerState,
     own_load: u32,
     retired: VecDeque<Incarnation>,
@@ -96,6 +97,7 @@
         let mut server = Self {
             report,
             last_heartbeat: now,
+            load_at: now,
             state: LifecycleCharts::shared().server.initial(),
             own_load: 0,
             retired: VecDeque::new(),
@@ -135,13 +137,20 @@
     pub fn refresh(&mut self, report: ServerReport, now: Duration) {
         self.report = report;
         self.last_heartbeat = now;
+        self.load_at = now;
         self.update_state();
     }
 
-    /// Updates the reported load from a task reply.
-    pub fn update_load(&mut self, load: LoadReport) {
+    /// Updates the reported load from a task reply received at `now`.
+    pub fn update_load(&mut self, load: LoadReport, now: Duration) {
         self.report.load = load.load;
         self.report.own_load = load.own_load;
+        self.load_at = now;
+    }
+
+    /// Time of the latest report of the load, in a heartbeat or a task reply.
+    pub fn load_at(&self) -> Duration {
+        self.load_at
     }
 
     fn update_state(&mut self) {
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -14,7 +14,8 @@
 //! One submodule handles each step of a job: `admission` and `idempotency` decide whether it is
 //! accepted, `estimate` whether it can meet its deadline, `priority` and `load_shedding` what
 //! happens while it waits, `dispatch` places and retries its tasks, `outcome` handles the replies
-//! of agents, and `completion` answers the job. `control_plane` handles configuration, claims,
+//! of agents, and `completion` answers the job; `refusal_event` records why a job or a task was
+//! turned away. `control_plane` handles configuration, claims,
 //! other entries and heartbeats.
 
 mod action;
@@ -31,6 +32,7 @@
 mod messages;
 mod outcome;
 mod priority;
+mod refusal_event;
 
 pub use action::EntryAction;
 pub use event::{EntryEvent, ExchangeFailure, StreamRead};
--- a/crates/core/src/entry/admission.rs
+++ b/crates/core/src/entry/admission.rs
@@ -3,7 +3,7 @@
 use super::{EntryAction, EntryMachine, EntryPhase, RefusalSubject};
 use crate::claim::{ClaimKey, ClaimStep, content_digest};
 use crate::config::{Configuration, ServiceSpec};
-use crate::error::{ErrorKind, JobError, LimitDetails};
+use crate::error::{ErrorKind, JobError, LimitDetails, LimitName};
 use crate::id::{SubmissionId, submission_id};
 use crate::job::{ActiveJob, JobAnswer, JobRequest};
 use crate::lifecycle::{JobEvent, ServerState};
@@ -104,7 +104,7 @@
             return Ok(());
         }
         let lease = millis(self.limits.lease);
-        let details = LimitDetails::new("lease_ms", lease, 0);
+        let details = LimitDetails::new(LimitName::LeaseMs, lease, 0);
         Err(JobError::new(ErrorKind::ConfigurationStale, details))
     }
 
@@ -113,12 +113,12 @@
         let spec = find_spec(configuration, request)?;
         let count = request.tasks.len();
         if count == 0 {
-            let details = LimitDetails::new("least_tasks", 1, 0);
+            let details = LimitDetails::new(LimitName::LeastTasks, 1, 0);
             return Err(JobError::new(ErrorKind::InvalidRequest, details));
         }
         if count > self.limits.tasks_per_job {
             let allowed = self.limits.tasks_per_job as u64;
-            let details = LimitDetails::new("tasks_per_job", allowed, count as u64);
+            let details = LimitDetails::new(LimitName::TasksPerJob, allowed, count as u64);
             return Err(JobError::new(ErrorKind::JobTooLarge, details));
         }
         let is_known_kind = |name| spec.requests.contains_key(name);
@@ -128,7 +128,8 @@
         let deadline = request.deadline.unwrap_or(spec.default_deadline);
         if deadline > self.limits.longest_deadline {
             let allowed = millis(self.limits.longest_deadline);
-            let details = LimitDetails::new("longest_deadline_ms", allowed, millis(deadline));
+            let details =
+                LimitDetails::new(LimitName::LongestDeadlineMs, allowed, millis(deadline));
             return Err(JobError::new(ErrorKind::InvalidRequest, details));
         }
         Ok(())
@@ -153,7 +154,7 @@
         if offering.iter().any(is_available) {
             return Ok(());
         }
-        let details = LimitDetails::new("servers_in_service", 1, 0);
+        let details = LimitDetails::new(LimitName::ServersInService, 1, 0);
         Err(JobError::new(ErrorKind::NoServerInService, details))
     }
 
@@ -176,7 +177,7 @@
             }
             let largest = capacities.map(|capacity| capacity.slots).max().unwrap_or(0);
             let details =
-                LimitDetails::new("slots_per_server", largest.into(), demand.slots.into());
+                LimitDetails::new(LimitName::SlotsPerServer, largest.into(), demand.slots.into());
             return Err(JobError::new(ErrorKind::CannotRun, details));
         }
         Ok(())
@@ -188,7 +189,7 @@
             return Ok(());
         }
         let allowed = self.limits.max_open_tasks as u64;
-        let details = LimitDetails::new("tasks_held", allowed, open_tasks as u64);
+        let details = LimitDetails::new(LimitName::TasksHeld, allowed, open_tasks as u64);
         Err(JobError::new(ErrorKind::Overloaded, details))
     }
 
@@ -206,7 +207,7 @@
         if requested <= allowed {
             return Ok(());
         }
-        let details = LimitDetails::new("tasks_in_flight", allowed.into(), requested.into());
+        let details = LimitDetails::new(LimitName::TasksInFlight, allowed.into(), requested.into());
         Err(JobError::new(ErrorKind::QuotaExceeded, details))
     }
 
@@ -301,9 +302,7 @@
         let submission = subject.submission;
         let refused = TimelineEvent::new(EventKind::JobRefused).submission(submission);
         let refused = refused.subject(&subject.job);
-        self.record_event(
-            refused.field(EventField::Kind(error.kind)).field(EventField::NotRun(error.not_run)),
-        );
+        self.record_job_error(refused, &subject.service, &error, now);
         self.record_refusal(subject, error.clone(), now);
         let answer = JobAnswer::Failed(error);
         let version = self.version();
--- a/crates/core/src/entry/completion.rs
+++ b/crates/core/src/entry/completion.rs
@@ -2,7 +2,7 @@
 
 use super::{CachedAnswer, EntryAction, EntryMachine, RefusalSubject};
 use crate::claim::{ClaimKey, ClaimStep};
-use crate::error::{ErrorKind, JobError, LimitDetails};
+use crate::error::{ErrorKind, JobError, LimitDetails, LimitName};
 use crate::id::{SubmissionId, TaskId};
 use crate::job::{ActiveJob, JobAnswer};
 use crate::lifecycle::{JobEvent, JobState, TaskEvent, TaskState};
@@ -48,8 +48,8 @@
         job.advance(job_event);
         let event_kind =
             if job.has_not_started() { EventKind::JobRefused } else { EventKind::JobFailed };
-        let ended = TimelineEvent::new(event_kind).submission(id).field(EventField::Kind(kind));
-        self.record_event(ended.field(EventField::NotRun(error.not_run)));
+        let ended = TimelineEvent::new(event_kind).submission(id);
+        self.record_job_error(ended, &job.service, &error, now);
         self.abandon_tasks(&mut job);
         self.release_claim(&job);
         self.record_refusal(refusal_subject(&job), error.clone(), now);
@@ -158,7 +158,7 @@
             self.deadlines.pop_first();
             let Some(job) = self.jobs.get(&id) else { continue };
             let details = LimitDetails::new(
-                "deadline_ms",
+                LimitName::DeadlineMs,
                 u64::try_from((job.deadline_at - job.arrived_at).as_millis()).unwrap_or(u64::MAX),
                 u64::try_from((now.elapsed - job.arrived_at).as_millis()).unwrap_or(u64::MAX),
             );
@@ -180,7 +180,7 @@
                 continue;
             }
             let limit = u64::try_from(self.limits.claim_timeout.as_millis()).unwrap_or(u64::MAX);
-            let details = LimitDetails::new("claim_timeout_ms", limit, limit);
+            let details = LimitDetails::new(LimitName::ClaimTimeoutMs, limit, limit);
             self.fail_job(id, ErrorKind::LogUnavailable, details, now);
         }
     }
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -1,9 +1,9 @@
 //! Dispatch: places queued tasks on backend servers, sends starts and retries tasks.
 
 use super::{EntryAction, EntryMachine, NotStartedReason, StartRequest};
-use crate::error::{ErrorKind, LimitDetails};
+use crate::error::{ErrorKind, LimitDetails, LimitName};
 use crate::id::{ServiceName, SubmissionId, TaskId};
-use crate::job::PriorityClass;
+use crate::job::{LoadBelief, PriorityClass};
 use crate::lifecycle::{DomainState, JobState, TaskEvent, TaskState};
 use crate::placement::PlacementCandidate;
 use crate::resources::ResourceAmounts;
@@ -209,6 +209,8 @@
         task.server = Some((candidate.index, incarnation));
         task.attempts += 1;
         task.expected_run_time = candidate.run_time;
+        let age = now.elapsed.saturating_sub(server.load_at());
+        task.load_belief = LoadBelief { load: candidate.load, age };
         let delay = candidate.finish_time() * STATUS_QUERY_FACTOR + self.limits.status_query_after;
         let query_at = now.elapsed + delay;
         task.status_query_at = Some(query_at);
@@ -245,8 +247,8 @@
             return;
         }
         task.failed_on = task.server.map(|(index, _)| index);
-        let returned = TimelineEvent::new(EventKind::TaskReturned).submission(id.submission);
-        self.record_event(returned.task(id.index).field(EventField::Why(reason)));
+        let belief = task.load_belief;
+        self.record_returned_task(id, reason, belief);
         self.retry_task(id, now);
     }
 
@@ -260,10 +262,11 @@
         task.status_query_at = None;
         let attempts = task.attempts;
         if attempts >= max_attempts {
-            let details = LimitDetails::new("attempts", max_attempts.into(), attempts.into());
+            let details =
+                LimitDetails::new(LimitName::Attempts, max_attempts.into(), attempts.into());
             self.fail_job(id.submission, ErrorKind::Overloaded, details, now);
         } else if !self.retry_budget.withdraw() {
-            let details = LimitDetails::new("retry_budget", 0, 1);
+            let details = LimitDetails::new(LimitName::RetryBudget, 0, 1);
             self.fail_job(id.submission, ErrorKind::Overloaded, details, now);
         } else {
             self.enqueue_task(id);
--- a/crates/core/src/entry/estimate.rs
+++ b/crates/core/src/entry/estimate.rs
@@ -3,7 +3,7 @@
 use super::EntryMachine;
 use super::admission::{find_spec, millis};
 use crate::config::ServiceSpec;
-use crate::error::{ErrorKind, JobError, LimitDetails};
+use crate::error::{ErrorKind, JobError, LimitDetails, LimitName};
 use crate::job::JobRequest;
 use crate::time::Moment;
 use std::time::Duration;
@@ -27,14 +27,14 @@
         let deadline = request.deadline.unwrap_or(spec.default_deadline);
         let capacity = self.service_capacity(&request.service);
         if capacity.speed == 0.0 {
-            let details = LimitDetails::new("servers_in_service", 1, 0);
+            let details = LimitDetails::new(LimitName::ServersInService, 1, 0);
             return Err(JobError::new(ErrorKind::NoServerInService, details));
         }
         let needed = self.expected_completion_time(request, spec, &capacity);
         if needed <= deadline {
             return Ok(());
         }
-        let details = LimitDetails::new("deadline_ms", millis(deadline), millis(needed));
+        let details = LimitDetails::new(LimitName::DeadlineMs, millis(deadline), millis(needed));
         Err(JobError::new(ErrorKind::DeadlineUnreachable, details))
     }
 
--- a/crates/core/src/entry/idempotency.rs
+++ b/crates/core/src/entry/idempotency.rs
@@ -3,7 +3,7 @@
 use super::EntryMachine;
 use super::admission::{AdmissionDecision, MAX_CLOCK_LEAD, find_spec, is_idempotent, millis};
 use crate::claim::{ClaimKey, claim_key, content_digest};
-use crate::error::{ErrorKind, JobError, LimitDetails};
+use crate::error::{ErrorKind, JobError, LimitDetails, LimitName};
 use crate::id::SubmissionId;
 use crate::job::JobRequest;
 use crate::time::Moment;
@@ -20,18 +20,18 @@
             return Ok(None);
         }
         let Some(created) = request.created_at else {
-            let details = LimitDetails::new("created_at_required", 1, 0);
+            let details = LimitDetails::new(LimitName::CreatedAtRequired, 1, 0);
             return Err(JobError::new(ErrorKind::InvalidRequest, details));
         };
         if created > now.wall + MAX_CLOCK_LEAD {
             let lead = millis(created - now.wall);
-            let details = LimitDetails::new("clock_lead_ms", millis(MAX_CLOCK_LEAD), lead);
+            let details = LimitDetails::new(LimitName::ClockLeadMs, millis(MAX_CLOCK_LEAD), lead);
             return Err(JobError::new(ErrorKind::InvalidRequest, details));
         }
         let age = now.wall.saturating_sub(created);
         if age > self.limits.claim_window {
             let allowed = millis(self.limits.claim_window);
-            let details = LimitDetails::new("claim_window_ms", allowed, millis(age));
+            let details = LimitDetails::new(LimitName::ClaimWindowMs, allowed, millis(age));
             return Err(JobError::new(ErrorKind::RequestKeyExpired, details));
         }
         if self.claims_read_at.is_none() {
@@ -61,7 +61,7 @@
 
     /// Refusal of a job whose key belongs to a job with different content.
     pub(super) fn key_reuse_refusal() -> AdmissionDecision {
-        let details = LimitDetails::new("jobs_per_request_key", 1, 2);
+        let details = LimitDetails::new(LimitName::JobsPerRequestKey, 1, 2);
         AdmissionDecision::Refuse(JobError::new(ErrorKind::InvalidRequest, details))
     }
 
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -4,7 +4,7 @@
     EntryAction, EntryMachine, ExchangeFailure, LoadReport, NotStartedReason, StartId, TaskReply,
 };
 use crate::directory::ServerRecord;
-use crate::error::{ErrorKind, LimitDetails};
+use crate::error::{ErrorKind, LimitDetails, LimitName};
 use crate::id::{Incarnation, TaskId};
 use crate::job::ActiveJob;
 use crate::lifecycle::{ServerEvent, TaskEvent, TaskState};
@@ -30,7 +30,7 @@
             return;
         };
         if let (Some(load), Some(server)) = (load, self.directory.get_mut(index)) {
-            server.update_load(load);
+            server.update_load(load, now.elapsed);
         }
         match reply {
             TaskReply::Done { answer, run_time } => {
@@ -185,7 +185,7 @@
             self.dispatch_all(now);
             return;
         }
-        let details = LimitDetails::new("task_index", 0, id.index.into());
+        let details = LimitDetails::new(LimitName::TaskIndex, 0, id.index.into());
         self.fail_job(id.submission, ErrorKind::TaskFailed, details, now);
     }
 
@@ -235,7 +235,7 @@
         }
         let lost = TimelineEvent::new(EventKind::TaskLost).submission(id.submission);
         self.record_event(lost.task(id.index));
-        let details = LimitDetails::new("task_index", 0, id.index.into());
+        let details = LimitDetails::new(LimitName::TaskIndex, 0, id.index.into());
         self.fail_job(id.submission, ErrorKind::OutcomeUnknown, details, now);
     }
 
--- a/crates/core/src/entry/priority.rs
+++ b/crates/core/src/entry/priority.rs
@@ -3,7 +3,7 @@
 use super::EntryMachine;
 use super::admission::millis;
 use super::load_shedding::ShedDecision;
-use crate::error::{ErrorKind, LimitDetails};
+use crate::error::{ErrorKind, LimitDetails, LimitName};
 use crate::id::{SubmissionId, TaskId};
 use crate::job::{ActiveJob, PriorityClass, WaitLimits};
 use crate::lifecycle::TaskState;
@@ -39,7 +39,7 @@
             let is_waiting = |other| self.jobs.get(&other).is_some_and(ActiveJob::has_not_started);
             if self.load_shedder.decide(&job.service, id, is_waiting) == ShedDecision::Refuse {
                 let allowed = job.wait_limits.map_or(0, |limits| millis(limits.slack));
-                self.refuse_waiting_job(id, "late_after_ms", allowed, now);
+                self.refuse_waiting_job(id, LimitName::LateAfterMs, allowed, now);
                 return true;
             }
         }
@@ -86,7 +86,7 @@
                 if !self.is_warming_up(now) {
                     self.load_shedder.record_expired(&job.service, id);
                 }
-                self.refuse_waiting_job(id, "patience_ms", allowed, now);
+                self.refuse_waiting_job(id, LimitName::PatienceMs, allowed, now);
             } else {
                 self.reclassify(id, now);
                 self.schedule_reclassification(id, now);
@@ -97,7 +97,7 @@
     fn refuse_waiting_job(
         &mut self,
         id: SubmissionId,
-        limit: &'static str,
+        limit: LimitName,
         allowed: u64,
         now: Moment,
     ) {
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -3,6 +3,10 @@
 //! Answers to callers, audit log records, metric labels and timelines take the names of the kinds
 //! from this table.
 
+mod limit;
+
+pub use limit::{LimitDetails, LimitName};
+
 use std::time::Duration;
 
 /// Why a job was refused or failed.
@@ -224,24 +228,6 @@
 const SECOND: Duration = Duration::from_secs(1);
 const OUTAGE_RETRY_DELAY: Duration = Duration::from_secs(3);
 
-/// Limit that led to an error, its value, and the value that was compared with it.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct LimitDetails {
-    /// Name of the limit, or empty if no limit applies.
-    pub limit: &'static str,
-    /// Value of the limit, in the unit given by the suffix of its name.
-    pub allowed: u64,
-    /// Value that was compared with the limit, in the same unit.
-    pub actual: u64,
-}
-
-impl LimitDetails {
-    /// Creates the details of the limit named `limit`.
-    pub fn new(limit: &'static str, allowed: u64, actual: u64) -> Self {
-        Self { limit, allowed, actual }
-    }
-}
-
 /// Refusal or failure of a job, with its limit details.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JobError {
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -71,6 +71,15 @@
     }
 }
 
+/// Load of a server as an entry knows it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LoadBelief {
+    /// Slots of running and queued tasks.
+    pub load: u32,
+    /// Age of the report that the load is based on.
+    pub age: Duration,
+}
+
 /// Task of an active job.
 #[derive(Debug)]
 pub struct ActiveTask {
@@ -92,6 +101,8 @@
     pub declared_run_time: Duration,
     /// Expected run time on the server that the task was sent to.
     pub expected_run_time: Duration,
+    /// Load of that server, as known when the task was sent.
+    pub load_belief: LoadBelief,
     /// Number of failed runs.
     pub failures: u32,
     /// Index of the server on which the task last failed, was interrupted or did not start; avoided
@@ -109,6 +120,7 @@
             demand,
             declared_run_time,
             expected_run_time: declared_run_time,
+            load_belief: LoadBelief::default(),
             failures: 0,
             failed_on: None,
             may_have_run: false,
--- a/crates/core/src/timeline/field.rs
+++ b/crates/core/src/timeline/field.rs
@@ -2,7 +2,7 @@
 
 use crate::claim::ClaimKey;
 use crate::entry::NotStartedReason;
-use crate::error::ErrorKind;
+use crate::error::{ErrorKind, LimitName};
 use crate::id::{Offset, Version};
 use std::fmt;
 
@@ -62,6 +62,22 @@
     NotRun(bool),
     /// Kind of the error that a job ended with.
     Kind(ErrorKind),
+    /// Limit that decided.
+    Limit(LimitName),
+    /// Value of the limit.
+    Allowed(u64),
+    /// Value that was compared with the limit.
+    Actual(u64),
+    /// Number of servers to which a task may be sent, whether or not they have free capacity.
+    Servers(u64),
+    /// Slots of running and queued tasks at a server, as known to the process.
+    Load(u64),
+    /// Slots that running and queued tasks may take together at a server.
+    LoadLimit(u64),
+    /// Slots that the task needs.
+    Demand(u64),
+    /// Age of the load report that decided, in milliseconds; the greatest age if there were several.
+    ReportAgeMs(u64),
     /// Idempotency key.
     Key(ClaimKey),
     /// Reason why a task was not started.
@@ -84,6 +100,14 @@
             Self::Unfinished(value) => write!(f, "unfinished={value}"),
             Self::NotRun(value) => write!(f, "not_run={value}"),
             Self::Kind(kind) => write!(f, "kind={}", kind.name()),
+            Self::Limit(limit) => write!(f, "limit={limit}"),
+            Self::Allowed(value) => write!(f, "allowed={value}"),
+            Self::Actual(value) => write!(f, "actual={value}"),
+            Self::Servers(value) => write!(f, "servers={value}"),
+            Self::Load(value) => write!(f, "load={value}"),
+            Self::LoadLimit(value) => write!(f, "load_limit={value}"),
+            Self::Demand(value) => write!(f, "demand={value}"),
+            Self::ReportAgeMs(value) => write!(f, "report_age_ms={value}"),
             Self::Key(key) => write!(f, "key={key:032x}"),
             Self::Why(reason) => write!(f, "why={}", reason.name()),
             Self::Result(outcome) => write!(f, "result={}", outcome.name()),
@@ -108,6 +132,14 @@
             "unfinished" => number().map(Self::Unfinished),
             "not_run" => value.parse().ok().map(Self::NotRun),
             "kind" => ErrorKind::from_name(value).map(Self::Kind),
+            "limit" => LimitName::from_name(value).map(Self::Limit),
+            "allowed" => number().map(Self::Allowed),
+            "actual" => number().map(Self::Actual),
+            "servers" => number().map(Self::Servers),
+            "load" => number().map(Self::Load),
+            "load_limit" => number().map(Self::LoadLimit),
+            "demand" => number().map(Self::Demand),
+            "report_age_ms" => number().map(Self::ReportAgeMs),
             "key" => crate::id::parse_id(value).map(Self::Key),
             "why" => NotStartedReason::from_name(value).map(Self::Why),
             "result" => {
--- a/crates/core/tests/session/harness/transcript.rs
+++ b/crates/core/tests/session/harness/transcript.rs
@@ -74,7 +74,7 @@
             "{} not_run={} limit={} allowed={} actual={}",
             error.kind.name(),
             error.not_run,
-            error.details.limit,
+            error.details.name(),
             error.details.allowed,
             error.details.actual
         ),
--- a/crates/daemon/src/entry/caller_http.rs
+++ b/crates/daemon/src/entry/caller_http.rs
@@ -6,7 +6,7 @@
 use crate::http::{BodyError, HttpReply, error_reply, handle_rejection, json_reply, read_body};
 use futures_util::Stream;
 use parsleyspool_core::entry::EntryEvent;
-use parsleyspool_core::error::{ErrorKind, LimitDetails};
+use parsleyspool_core::error::{ErrorKind, LimitDetails, LimitName};
 use parsleyspool_core::job::{JobAnswer, JobRequest};
 use parsleyspool_wire::caller::{AnswerBody, ErrorBody, MAX_NAME_BYTES, SubmitBody};
 use std::convert::Infallible;
@@ -66,7 +66,7 @@
     match error {
         BodyError::Incomplete => (ErrorKind::InvalidRequest, LimitDetails::default()),
         BodyError::TooLarge { size } => {
-            (ErrorKind::RequestTooLarge, LimitDetails::new("body_bytes", limit, size))
+            (ErrorKind::RequestTooLarge, LimitDetails::new(LimitName::BodyBytes, limit, size))
         }
     }
 }
@@ -76,7 +76,8 @@
         return Err((ErrorKind::InvalidRequest, LimitDetails::default()));
     };
     JobRequest::try_from(body).map_err(|error| {
-        let details = LimitDetails::new("name_bytes", MAX_NAME_BYTES as u64, error.size as u64);
+        let details =
+            LimitDetails::new(LimitName::NameBytes, MAX_NAME_BYTES as u64, error.size as u64);
         (ErrorKind::InvalidRequest, details)
     })
 }
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -135,7 +135,7 @@
             not_run: error.not_run,
             may_resubmit: answer.resubmission != Resubmission::Refused,
             retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
-            limit: error.details.limit.to_owned(),
+            limit: error.details.name().to_owned(),
             allowed: error.details.allowed,
             actual: error.details.actual,
             config_version: version,
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -158,7 +158,7 @@
             tasks: record.tasks,
             kind: record.error.kind.name().to_owned(),
             not_run: record.error.not_run,
-            limit: record.error.details.limit.to_owned(),
+            limit: record.error.details.name().to_owned(),
             allowed: record.error.details.allowed,
             actual: record.error.details.actual,
             config_version: record.version,
