Reach entries that start after their agents with brief attempts

Entries had a configuration and no server for 0.4 to 0.75 s, and jobs expired there.

Change: until an entry has proved to be slow, an agent gives up a connection after 150 ms and tries again after 50 ms; a connect that fails that way does not make the entry suspect, which would cost a new connection for each heartbeat of the next 5 s. An entry that answers none of eight such attempts gets the former limits from then on.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -15,10 +15,12 @@
 
 mod cancel_and_query;
 mod capacity;
+mod entry_contact;
 mod event;
 mod lease;
 mod outcome_store;
 
+pub use entry_contact::{ConnectPatience, EntryContact};
 pub use event::{AgentAction, AgentEvent, AgentLimits, RunResult, ServerAvailability};
 
 use crate::entry::{AgentDirective, LoadReport, NotStartedReason, StartRequest, TaskReply};
--- a/crates/daemon/src/agent/heartbeat.rs
+++ b/crates/daemon/src/agent/heartbeat.rs
@@ -4,16 +4,17 @@
 use super::actor::{AgentActor, BuildReport, HandleDirective};
 use super::entry_directory::EntryDirectory;
 use futures_util::future::join_all;
+use parsleyspool_core::agent::{ConnectPatience, EntryContact};
 use parsleyspool_core::entry::AgentDirective;
-use parsleyspool_wire::peer::{DirectiveMessage, HeartbeatMessage};
+use parsleyspool_wire::peer::HeartbeatMessage;
 use std::collections::BTreeMap;
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::task::JoinHandle;
 use xtra::Address;
 
-/// Delay before the next heartbeat if the entry did not answer or there was no server to report.
-const HEARTBEAT_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Time between two checks for a server to report.
+const REPORT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest heartbeat interval; an entry that requests a shorter one gets this one.
 const MIN_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two checks for entries that were added to the directory or have expired.
@@ -50,9 +51,9 @@
 /// Sends one heartbeat to every known entry and waits for the answers.
 pub(crate) async fn send_heartbeats_once(address: &Address<AgentActor>, shared: &AgentShared) {
     let known_addresses = entry_directory(shared).addresses();
-    let heartbeats = known_addresses
-        .into_iter()
-        .map(|entry_address| async move { send_heartbeat(&entry_address, address, shared).await });
+    let heartbeats = known_addresses.into_iter().map(|entry_address| async move {
+        send_heartbeat(&entry_address, ConnectPatience::Brief, address, shared).await
+    });
     join_all(heartbeats).await;
 }
 
@@ -71,30 +72,53 @@
     address: Address<AgentActor>,
     shared: Arc<AgentShared>,
 ) {
+    let mut contact = EntryContact::default();
     while address.is_connected() {
-        let wait = match send_heartbeat(&entry_address, &address, &shared).await {
-            Some(answer) => AgentDirective::from(&answer).heartbeat_interval.max(MIN_INTERVAL),
-            None => HEARTBEAT_RETRY_DELAY,
+        let patience = contact.patience();
+        let wait = match send_heartbeat(&entry_address, patience, &address, &shared).await {
+            HeartbeatOutcome::Answered { interval } => {
+                contact.record_answer();
+                interval.max(MIN_INTERVAL)
+            }
+            HeartbeatOutcome::Unanswered => contact.record_failure(),
+            HeartbeatOutcome::NothingToReport => REPORT_CHECK_INTERVAL,
         };
         let _ = tokio::time::timeout(wait, shared.heartbeat_wakeup.notified()).await;
     }
 }
 
-/// Sends one heartbeat and handles the answer; `None` if the entry did not answer, or if there is
-/// no server to report.
+/// How one heartbeat ended.
+#[derive(Debug, Clone, Copy)]
+enum HeartbeatOutcome {
+    /// The entry answered and asked for the next heartbeat after `interval`.
+    Answered { interval: Duration },
+    /// The entry did not answer in time.
+    Unanswered,
+    /// There is no server yet.
+    NothingToReport,
+}
+
+/// Sends one heartbeat and handles the answer.
 async fn send_heartbeat(
     entry_address: &str,
+    patience: ConnectPatience,
     address: &Address<AgentActor>,
     shared: &AgentShared,
-) -> Option<DirectiveMessage> {
+) -> HeartbeatOutcome {
     let name = entry_directory(shared).entry_name(entry_address);
-    let report = address.send(BuildReport(name)).await.ok().flatten()?;
+    let Some(report) = address.send(BuildReport(name)).await.ok().flatten() else {
+        return HeartbeatOutcome::NothingToReport;
+    };
     let sent_at = report.clock;
     let message = HeartbeatMessage::from(&report);
-    let answer = shared.interfaces.entries.heartbeat(entry_address.into(), message).await?;
+    let entries = &shared.interfaces.entries;
+    let Some(answer) = entries.heartbeat(entry_address.into(), message, patience).await else {
+        return HeartbeatOutcome::Unanswered;
+    };
     let now = shared.interfaces.clock.now().elapsed;
     entry_directory(shared).record_answer(entry_address, &answer.entry, &answer.entries, now);
     let directive = AgentDirective::from(&answer);
+    let interval = directive.heartbeat_interval;
     let _ = address.send(HandleDirective { directive, sent_at }).await;
-    Some(answer)
+    HeartbeatOutcome::Answered { interval }
 }
--- a/crates/daemon/src/interfaces.rs
+++ b/crates/daemon/src/interfaces.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use error_stack::Report;
 use futures_util::future::BoxFuture;
-use parsleyspool_core::agent::RunResult;
+use parsleyspool_core::agent::{ConnectPatience, RunResult};
 use parsleyspool_core::entry::{ExchangeFailure, StartRequest};
 use parsleyspool_core::id::{Offset, PeerAddress, TaskId};
 use parsleyspool_core::run::{
@@ -131,11 +131,12 @@
 
 /// Client for the entries, used by agents and other entries.
 pub trait EntryClient: Debug + Send + Sync {
-    /// Sends a heartbeat; `None` if the entry does not answer.
+    /// Sends a heartbeat, over a new connection if necessary; `None` if the entry does not answer.
     fn heartbeat(
         &self,
         address: PeerAddress,
         message: HeartbeatMessage,
+        patience: ConnectPatience,
     ) -> BoxFuture<'_, Option<DirectiveMessage>>;
 
     /// Fetches the state of another entry; `None` if it does not answer.
--- a/crates/daemon/src/peer_client.rs
+++ b/crates/daemon/src/peer_client.rs
@@ -1,9 +1,10 @@
 //! HTTP client for messages between the daemons.
 //!
-//! The pooled client reuses connections. The unpooled client opens a new connection for each
-//! message. Status queries always use it, because an open connection can stall permanently while
-//! new connections work. After a request to a peer fails, all messages to that peer use new
-//! connections until the pool has dropped its idle ones and the peer has answered.
+//! The pooled client reuses connections. The heartbeat client is pooled too, and gives up early if a
+//! connection is not accepted, since the entry may still be starting. The unpooled client opens a
+//! new connection for each message. Status queries always use it, because an open connection can
+//! stall permanently while new connections work. After a request to a peer fails, all messages to
+//! that peer use new connections until the pool has dropped its idle ones and the peer has answered.
 
 use crate::error::DaemonError;
 use crate::http::MESSAGE_MEDIA_TYPE;
@@ -14,6 +15,7 @@
 use error_stack::{Report, ResultExt};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
+use parsleyspool_core::agent::ConnectPatience;
 use parsleyspool_core::entry::ExchangeFailure;
 use parsleyspool_core::id::PeerAddress;
 use parsleyspool_core::lifecycle::ConnectionEvent;
@@ -32,6 +34,8 @@
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time limit for opening a connection for a brief attempt: several round trips within a region.
+const BRIEF_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time after which the pool drops an idle connection.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest time for which an agent holds a status query open while the task is pending.
@@ -48,6 +52,8 @@
 enum ConnectionMode {
     /// An idle connection of the pool, unless the peer is suspect.
     Pooled,
+    /// The same with the heartbeat client; the peer may still be starting.
+    Brief,
     /// Always a new connection.
     New,
 }
@@ -56,6 +62,7 @@
 #[derive(Debug)]
 pub struct PeerClient {
     pooled_client: Client,
+    heartbeat_client: Client,
     unpooled_client: Client,
     connections: PeerConnections,
     recorder: Arc<EventRecorder>,
@@ -73,10 +80,13 @@
     ) -> Result<Self, Report<DaemonError>> {
         let builder =
             || Client::builder().connect_timeout(CONNECT_TIMEOUT).no_proxy().tcp_nodelay(true);
-        let pooled_client = builder().pool_idle_timeout(POOL_IDLE_TIMEOUT).build();
+        let pooled_builder = || builder().pool_idle_timeout(POOL_IDLE_TIMEOUT);
+        let pooled_client = pooled_builder().build();
+        let heartbeat_client = pooled_builder().connect_timeout(BRIEF_CONNECT_TIMEOUT).build();
         let unpooled_client = builder().pool_max_idle_per_host(0).build();
         Ok(Self {
             pooled_client: pooled_client.change_context(DaemonError::Client)?,
+            heartbeat_client: heartbeat_client.change_context(DaemonError::Client)?,
             unpooled_client: unpooled_client.change_context(DaemonError::Client)?,
             connections: PeerConnections::new(POOL_IDLE_TIMEOUT),
             recorder,
@@ -86,8 +96,10 @@
 
     fn client(&self, address: &PeerAddress, mode: ConnectionMode) -> &Client {
         match mode {
-            ConnectionMode::Pooled if !self.connections.is_suspect(address) => &self.pooled_client,
-            _ => &self.unpooled_client,
+            _ if self.connections.is_suspect(address) => &self.unpooled_client,
+            ConnectionMode::Pooled => &self.pooled_client,
+            ConnectionMode::Brief => &self.heartbeat_client,
+            ConnectionMode::New => &self.unpooled_client,
         }
     }
 
@@ -100,8 +112,13 @@
         timeout: Duration,
     ) -> Result<A, ExchangeFailure> {
         let result = self.try_send(address, path, message, mode, timeout).await;
-        let event = if result.is_ok() { ConnectionEvent::Answer } else { ConnectionEvent::Timeout };
-        self.connections.record(address, event);
+        match &result {
+            Ok(_) => self.connections.record(address, ConnectionEvent::Answer),
+            // A peer that is still starting has no connection that could have stalled.
+            Err(ExchangeFailure::NothingSent | ExchangeFailure::PeerGone)
+                if mode == ConnectionMode::Brief => {}
+            Err(_) => self.connections.record(address, ConnectionEvent::Timeout),
+        }
         result
     }
 
@@ -199,10 +216,14 @@
         &self,
         address: PeerAddress,
         message: HeartbeatMessage,
+        patience: ConnectPatience,
     ) -> BoxFuture<'_, Option<DirectiveMessage>> {
         async move {
             self.metrics.count_message(MessageKind::Heartbeat);
-            let mode = ConnectionMode::Pooled;
+            let mode = match patience {
+                ConnectPatience::Brief => ConnectionMode::Brief,
+                ConnectPatience::Patient => ConnectionMode::Pooled,
+            };
             self.send(&address, "/peer/heartbeat", message, mode, CONTROL_TIMEOUT).await.ok()
         }
         .boxed()
