Let tasks wait that full servers returned, and share new servers between entries

Cause: 35 entries with a backlog of 1.3 s heard of the same few idle servers at the same time and each filled them: 7,462 refusals in 0.5 s. Each took a retry from the budget of 100, and a job whose retry was not granted failed, though nothing was wrong with it.

Change: a start that a full server returned costs no retry; the server gets nothing more until its next report; when queued tasks are dispatched on a load report, each other entry is assumed to have sent half as much as this one since that report.

Ruled out: the same assumption for every placement.

--- a/crates/core/src/directory/server.rs
+++ b/crates/core/src/directory/server.rs
@@ -221,6 +221,23 @@
         others + self.own_load
     }
 
+    /// Load in slots that [`Self::load`] and the other entries are expected to add up to, if
+    /// `entry_count` entries send tasks to the server.
+    ///
+    /// The other entries know the same report, so they have sent tasks since then as well: each is
+    /// assumed to have sent half as much as this one.
+    pub fn expected_load(&self, entry_count: u32) -> u32 {
+        let unreported = self.own_load.saturating_sub(self.report.own_load);
+        let others = entry_count.saturating_sub(1);
+        self.load().saturating_add(unreported.saturating_mul(others) / 2)
+    }
+
+    /// Records that the server had no room for a task, whatever its reported load, until its next
+    /// report.
+    pub fn mark_full(&mut self) {
+        self.report.load = self.report.load.max(self.report.load_limit);
+    }
+
     /// Run time on this server relative to the average of all servers: 1 is average, 2 takes twice
     /// as long.
     pub fn slowdown(&self) -> f64 {
--- a/crates/core/src/entry/control_plane.rs
+++ b/crates/core/src/entry/control_plane.rs
@@ -1,5 +1,6 @@
 //! Control plane: configuration, claims, reports of other entries, heartbeats and the tick.
 
+use super::dispatch::Contention;
 use super::{
     AgentDirective, DomainStatus, EntryAction, EntryMachine, EntryPhase, PeerLoad, StreamRead,
 };
@@ -305,7 +306,7 @@
             self.handle_replaced_incarnation(index, now);
         }
         if outcome != ReportOutcome::Outdated {
-            self.dispatch_to_server(index, now);
+            self.dispatch_to_server(index, Contention::Shared, now);
         }
     }
 
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -23,6 +23,22 @@
     Skipped,
 }
 
+/// Whether other entries are expected to send tasks to the same servers at the same moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Contention {
+    /// The cause is known to this entry alone: a new job, or the end of one of its tasks.
+    Alone,
+    /// Queued tasks are dispatched on a load report that all entries receive at the same time.
+    Shared,
+}
+
+/// What a retry takes from the retry budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RetryCost {
+    Free,
+    One,
+}
+
 /// Factor on the expected finish time after which the status of a task is queried.
 const STATUS_QUERY_FACTOR: u32 = 3;
 
@@ -46,17 +62,22 @@
         }
         let service: ServiceName = service.into();
         let services = [service];
-        while self.dispatch_next(&services, now) != PlacementOutcome::Waiting {}
+        while self.dispatch_next(&services, Contention::Alone, now) != PlacementOutcome::Waiting {}
     }
 
     /// Dispatches the next queued task of `services`.
-    fn dispatch_next(&mut self, services: &[ServiceName], now: Moment) -> PlacementOutcome {
+    fn dispatch_next(
+        &mut self,
+        services: &[ServiceName],
+        contention: Contention,
+        now: Moment,
+    ) -> PlacementOutcome {
         let Some((task, team)) = self.queue.pop(services) else { return PlacementOutcome::Waiting };
         if self.reclassify(task.submission, now) {
             self.enqueue_task(task);
             return PlacementOutcome::Skipped;
         }
-        let outcome = self.place_task(task, now);
+        let outcome = self.place_task(task, contention, now);
         match outcome {
             PlacementOutcome::Waiting => self.enqueue_task(task),
             PlacementOutcome::Sent => {
@@ -70,14 +91,15 @@
 
     /// Dispatches queued tasks of the services that the server at `index` offers while that server
     /// has free capacity.
-    pub(super) fn dispatch_to_server(&mut self, index: usize, now: Moment) {
+    pub(super) fn dispatch_to_server(&mut self, index: usize, contention: Contention, now: Moment) {
         if self.queue.is_empty() || !self.is_start_permitted(now) {
             return;
         }
         let Some(server) = self.directory.get(index) else { return };
         let services = server.services().to_vec();
-        while self.has_free_capacity(index, ResourceAmounts::from_slots(1), now) {
-            if self.dispatch_next(&services, now) == PlacementOutcome::Waiting {
+        let smallest = ResourceAmounts::from_slots(1);
+        while self.has_free_capacity(index, smallest, contention, now) {
+            if self.dispatch_next(&services, contention, now) == PlacementOutcome::Waiting {
                 return;
             }
         }
@@ -87,7 +109,7 @@
     pub(super) fn dispatch_all(&mut self, now: Moment) {
         let indexes: Vec<usize> = self.directory.iter().map(|(index, _)| index).collect();
         for index in indexes {
-            self.dispatch_to_server(index, now);
+            self.dispatch_to_server(index, Contention::Shared, now);
         }
     }
 
@@ -98,7 +120,7 @@
         self.queue.push(&service, &team, task, position);
     }
 
-    fn place_task(&mut self, id: TaskId, now: Moment) -> PlacementOutcome {
+    fn place_task(&mut self, id: TaskId, contention: Contention, now: Moment) -> PlacementOutcome {
         let Some(job) = self.jobs.get(&id.submission) else { return PlacementOutcome::Skipped };
         let Some(task) = job.tasks.get(id.index as usize) else { return PlacementOutcome::Skipped };
         if task.state() != TaskState::Queued || job.state() != JobState::Open {
@@ -107,7 +129,13 @@
         let (service, class) = (job.service.clone(), job.priority_class());
         let request = task.request.request_name.clone();
         let (demand, declared, failed_on) = (task.demand, task.declared_run_time, task.failed_on);
-        let mut candidates = self.placement_candidates(&service, &request, demand, declared, now);
+        let sample = self.directory.sample(&service, &mut self.random);
+        let ready = sample
+            .into_iter()
+            .filter(|&index| self.has_free_capacity(index, demand, contention, now))
+            .collect();
+        let average = self.run_times.expected(&service, &request, declared);
+        let mut candidates = self.placement_candidates(ready, demand, average);
         if candidates.len() > 1 {
             candidates.retain(|candidate| Some(candidate.index) != failed_on);
         }
@@ -124,18 +152,15 @@
         PlacementOutcome::Sent
     }
 
+    /// Candidates for a task that needs `demand` and runs for `average` on an average server; `ready`
+    /// are the indexes of servers with free capacity.
     fn placement_candidates(
-        &mut self,
-        service: &str,
-        request: &str,
+        &self,
+        ready: Vec<usize>,
         demand: ResourceAmounts,
-        declared: Duration,
-        now: Moment,
+        average: Duration,
     ) -> Vec<PlacementCandidate> {
-        let average = self.run_times.expected(service, request, declared);
-        let sample = self.directory.sample(service, &mut self.random);
-        let ready = sample.into_iter().filter(|&index| self.has_free_capacity(index, demand, now));
-        let ready = ready.filter_map(|index| {
+        let candidates = ready.into_iter().filter_map(|index| {
             let server = self.directory.get(index)?;
             let run_time = average.mul_f64(server.slowdown());
             let mean_run_time = server.mean_run_time();
@@ -150,14 +175,22 @@
                 is_same_domain: *server.domain() == self.identity.domain,
             })
         });
-        ready.collect()
+        candidates.collect()
     }
 
     /// Whether the server at `index` may be sent another task that needs `demand`.
     ///
     /// An entry may fill its share of the slots even if other entries have filled the rest, because
-    /// the queue of the agent runs the tasks of small jobs first.
-    fn has_free_capacity(&self, index: usize, demand: ResourceAmounts, now: Moment) -> bool {
+    /// the queue of the agent runs the tasks of small jobs first. Load pattern of
+    /// [`Contention::Shared`]: after a restart of everything, all entries have a backlog and hear of
+    /// the same few idle servers at the same time.
+    fn has_free_capacity(
+        &self,
+        index: usize,
+        demand: ResourceAmounts,
+        contention: Contention,
+        now: Moment,
+    ) -> bool {
         if !self.directory.is_eligible(index, self.ledger.configuration()) {
             return false;
         }
@@ -171,7 +204,11 @@
         let allowed = ramped.saturating_add(self.limits.prefetch_slots);
         let share = (ramped / self.entry_count()).max(ramped.min(1));
         let is_within_share = server.own_load() + slots <= share;
-        let load = server.load() + slots;
+        let load = match contention {
+            Contention::Alone => server.load(),
+            Contention::Shared => server.expected_load(self.entry_count()),
+        };
+        let load = load.saturating_add(slots);
         load <= server.latest_report().load_limit && (load <= allowed.max(slots) || is_within_share)
     }
 
@@ -249,12 +286,15 @@
         task.failed_on = task.server.map(|(index, _)| index);
         let belief = task.load_belief;
         self.record_returned_task(id, reason, belief);
-        self.retry_task(id, now);
+        // A full server has done no work for the task, and the entry sends it nothing more until it
+        // reports free capacity. The task waits in the queue like any other.
+        let cost = if reason == NotStartedReason::Full { RetryCost::Free } else { RetryCost::One };
+        self.retry_task(id, cost, now);
     }
 
     /// Queues a task again that is known not to be running, or fails its job if the starts of the
     /// task or the retry budget are used up.
-    pub(super) fn retry_task(&mut self, id: TaskId, now: Moment) {
+    pub(super) fn retry_task(&mut self, id: TaskId, cost: RetryCost, now: Moment) {
         let max_attempts = self.limits.max_attempts;
         let Some(job) = self.jobs.get_mut(&id.submission) else { return };
         let task = &mut job.tasks[id.index as usize];
@@ -265,7 +305,7 @@
             let details =
                 LimitDetails::new(LimitName::Attempts, max_attempts.into(), attempts.into());
             self.fail_job(id.submission, ErrorKind::Overloaded, details, now);
-        } else if !self.retry_budget.withdraw() {
+        } else if cost == RetryCost::One && !self.retry_budget.withdraw() {
             let details = LimitDetails::new(LimitName::RetryBudget, 0, 1);
             self.fail_job(id.submission, ErrorKind::Overloaded, details, now);
         } else {
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -1,5 +1,6 @@
 //! Task outcomes: handles replies, failed exchanges, expired run leases and status queries.
 
+use super::dispatch::{Contention, RetryCost};
 use super::{
     EntryAction, EntryMachine, ExchangeFailure, LoadReport, NotStartedReason, StartId, TaskReply,
 };
@@ -50,7 +51,7 @@
             TaskReply::Pending => self.schedule_status_query(id, Duration::ZERO, now),
             TaskReply::Lost => self.handle_interrupted_run(id, index, now),
         }
-        self.dispatch_to_server(index, now);
+        self.dispatch_to_server(index, Contention::Alone, now);
     }
 
     pub(super) fn handle_no_reply(
@@ -87,6 +88,11 @@
             }
             NotStartedReason::PermitLapsed => self.advance_server(index, ServerEvent::Silence),
             NotStartedReason::NoConnection => self.count_server_failure(index, now),
+            NotStartedReason::Full => {
+                if let Some(server) = self.directory.get_mut(index) {
+                    server.mark_full();
+                }
+            }
             _ => {}
         }
     }
@@ -181,7 +187,7 @@
         self.record_event(faulted.task(id.index).subject(&name).field(field));
         self.count_server_failure(index, now);
         if may_retry {
-            self.retry_task(id, now);
+            self.retry_task(id, RetryCost::One, now);
             self.dispatch_all(now);
             return;
         }
@@ -224,7 +230,7 @@
         self.release_slots(id, index);
         let interrupted = TimelineEvent::new(EventKind::TaskInterrupted).submission(id.submission);
         self.record_event(interrupted.task(id.index));
-        self.retry_task(id, now);
+        self.retry_task(id, RetryCost::One, now);
         self.dispatch_all(now);
     }
 
--- a/crates/core/tests/session/main.rs
+++ b/crates/core/tests/session/main.rs
@@ -37,6 +37,7 @@
     harness.submit(1, "look", 1);
     let first = harness.start_of(1, 0);
     harness.refuse_task(1, 0, NotStartedReason::Full);
+    harness.send_heartbeats();
     harness.reply(first, TaskReply::NotStarted(NotStartedReason::NeverReceived));
     harness.answer_task(1, 0);
 
