Contact the entries that an answer names without waiting for the next check

Cause: after a restart of everything an agent learns of most entries from the first one that answers, and began to contact them up to 200 ms later. Change: the answer wakes the task that does so.

--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -83,6 +83,8 @@
     pub listener_address: SocketAddr,
     /// Makes the agent send heartbeats to all entries immediately.
     pub heartbeat_wakeup: Notify,
+    /// Makes the agent contact the entries that were added to the directory.
+    pub new_entries: Notify,
     /// Entries that receive heartbeats.
     pub entry_directory: Mutex<EntryDirectory>,
 }
@@ -158,6 +160,7 @@
         log_control: components.log_control,
         state_name: state_name.clone(),
         heartbeat_wakeup: Notify::new(),
+        new_entries: Notify::new(),
         entry_directory: Mutex::new(entry_directory),
     });
     shared.recorder.record(TimelineEvent::new(EventKind::ProcessStarted));
--- a/crates/daemon/src/agent/entry_directory.rs
+++ b/crates/daemon/src/agent/entry_directory.rs
@@ -44,19 +44,21 @@
     }
 
     /// Records that the entry `name` at `address` answered at `now` and listed `others`, a map
-    /// from entry names to addresses.
+    /// from entry names to addresses; returns whether any address is new.
     pub(crate) fn record_answer(
         &mut self,
         address: &str,
         name: &str,
         others: &BTreeMap<String, String>,
         now: Duration,
-    ) {
+    ) -> bool {
+        let known_count = self.known.len();
         let answering_entry = (name.to_owned(), address.to_owned());
         let others = others.iter().map(|(name, address)| (name.clone(), address.clone()));
         for (name, address) in others.chain([answering_entry]) {
             self.known.insert(address, KnownEntry { name, last_seen: now });
         }
+        self.known.len() > known_count
     }
 
     /// Removes the entries that have expired at `now`.
--- a/crates/daemon/src/agent/heartbeat.rs
+++ b/crates/daemon/src/agent/heartbeat.rs
@@ -17,7 +17,7 @@
 const REPORT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest heartbeat interval; an entry that requests a shorter one gets this one.
 const MIN_INTERVAL: Duration = Duration::from_millis(50);
-/// Time between two checks for entries that were added to the directory or have expired.
+/// Time between two checks for entries that have expired.
 const DIRECTORY_REFRESH_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Sends heartbeats to every known entry until the actor stops, from one task per entry.
@@ -40,7 +40,8 @@
                 )))
             });
         }
-        tokio::time::sleep(DIRECTORY_REFRESH_INTERVAL).await;
+        let new_entries = shared.new_entries.notified();
+        let _ = tokio::time::timeout(DIRECTORY_REFRESH_INTERVAL, new_entries).await;
     }
 }
 
@@ -116,7 +117,11 @@
         return HeartbeatOutcome::Unanswered;
     };
     let now = shared.interfaces.clock.now().elapsed;
-    entry_directory(shared).record_answer(entry_address, &answer.entry, &answer.entries, now);
+    let has_new_entries =
+        entry_directory(shared).record_answer(entry_address, &answer.entry, &answer.entries, now);
+    if has_new_entries {
+        shared.new_entries.notify_one();
+    }
     let directive = AgentDirective::from(&answer);
     let interval = directive.heartbeat_interval;
     let _ = address.send(HandleDirective { directive, sent_at }).await;
