--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -12,6 +12,10 @@
 //! start was sent. If that is longer ago than the retention time, the agent cannot distinguish a
 //! start that it never received from one whose outcome was removed, and replies that the outcome is
 //! lost.
+//!
+//! `start_check` decides whether a start is accepted, `task_queue` when it runs, `lease` how long it
+//! may run, and `cancel_and_query` what an entry learns of it. `entry_contact` decides how the agent
+//! reaches its entries.
 
 mod cancel_and_query;
 mod capacity;
@@ -19,6 +23,8 @@
 mod event;
 mod lease;
 mod outcome_store;
+mod start_check;
+mod task_queue;
 
 pub use entry_contact::{ConnectPatience, EntryContact};
 pub use event::{AgentAction, AgentEvent, AgentLimits, RunResult, ServerAvailability};
@@ -193,143 +199,6 @@
         self.enqueue(entry, request, now);
     }
 
-    /// Reply to this start if the outcome of the task is already stored.
-    ///
-    /// A start that ended without an answer may be sent here again with a higher attempt number,
-    /// which an entry assigns only once it knows that the earlier start has ended.
-    fn stored_reply(&self, request: &StartRequest) -> Option<TaskReply> {
-        let outcome = self.outcomes.get(request.task)?;
-        let is_answered = matches!(outcome.reply, TaskReply::Done { .. });
-        (is_answered || request.attempt <= outcome.attempt).then(|| outcome.reply.clone())
-    }
-
-    /// Why a start that arrives now is refused; `None` if it is accepted.
-    ///
-    /// A permit that lasts longer than outcomes are stored is refused, since a late copy of the
-    /// start could then run the task again.
-    fn arrival_refusal_reason(
-        &self,
-        request: &StartRequest,
-        now: Moment,
-    ) -> Option<NotStartedReason> {
-        if let Some(reason) = self.refusal_reason(request, now) {
-            return Some(reason);
-        }
-        let latest_permit_end = now.elapsed + self.limits.outcome_retention;
-        if now.elapsed >= request.permit_until || request.permit_until > latest_permit_end {
-            return Some(NotStartedReason::PermitLapsed);
-        }
-        if self.is_unleased(request.task, now) {
-            return Some(NotStartedReason::PermitLapsed);
-        }
-        let is_full = self.used_capacity.slots + self.queued_slots + request.demand.slots
-            > self.admission_slots()
-            || !request.demand.fits(&self.limits.capacity, &ResourceAmounts::default())
-            || self.outcomes.is_full();
-        is_full.then_some(NotStartedReason::Full)
-    }
-
-    fn enqueue(&mut self, entry: EntryName, request: StartRequest, now: Moment) {
-        let task = request.task;
-        self.outcomes.forget(task);
-        self.queued_slots += request.demand.slots;
-        *self.slots_by_entry.entry(entry.clone()).or_insert(0) += request.demand.slots;
-        let queue_position = now.elapsed + request.queue_penalty;
-        self.tasks.insert(
-            task,
-            AcceptedTask { entry, request, queue_position, started_at: None, is_stopping: false },
-        );
-        self.queue.insert((queue_position, task));
-        self.actions.push(AgentAction::AddWaiter { task });
-        self.dispatch_queued(now);
-        if self.tasks.get(&task).is_some_and(|accepted| accepted.started_at.is_none()) {
-            self.record_event(EventKind::AgentQueued, task, &[]);
-        }
-    }
-
-    /// Why a task must not be started now; `None` if it may be started. Checked on arrival and
-    /// again immediately before the run.
-    fn refusal_reason(&self, request: &StartRequest, now: Moment) -> Option<NotStartedReason> {
-        if self.is_draining || self.is_server_leaving || self.is_server_absent {
-            return Some(NotStartedReason::Leaving);
-        }
-        if self.is_server_unresponsive {
-            return Some(NotStartedReason::NoConnection);
-        }
-        if now.elapsed >= request.start_before {
-            return Some(NotStartedReason::TooLate);
-        }
-        if self.is_blocked() {
-            return Some(NotStartedReason::Full);
-        }
-        let is_directive_current = self.directive.version >= request.version;
-        if is_directive_current && self.directive.is_leaving {
-            return Some(NotStartedReason::Leaving);
-        }
-        if is_directive_current && !self.directive.is_in_service {
-            return Some(NotStartedReason::DomainOut);
-        }
-        let is_permitted = now.elapsed < request.permit_until
-            || (is_directive_current && now.elapsed < self.directive.valid_until);
-        (!is_permitted).then_some(NotStartedReason::PermitLapsed)
-    }
-
-    /// Refuses a start and, unless the outcome store is full, every later copy of it.
-    fn refuse(
-        &mut self,
-        request: &StartRequest,
-        entry: &str,
-        reason: NotStartedReason,
-        now: Moment,
-    ) {
-        let task = request.task;
-        self.record_refused(request, reason);
-        let reply = TaskReply::NotStarted(reason);
-        if !self.outcomes.is_full() {
-            self.outcomes.store(task, request.attempt, reply.clone(), now.elapsed);
-        }
-        let load = self.load_for(entry);
-        self.actions.push(AgentAction::ReplyToSender { reply, load });
-    }
-
-    /// Starts queued tasks while there is free capacity.
-    fn dispatch_queued(&mut self, now: Moment) {
-        while let Some(&(queue_position, task)) = self.queue.first() {
-            let Some(accepted) =
-                self.tasks.get(&task).filter(|accepted| accepted.queue_position == queue_position)
-            else {
-                self.queue.pop_first();
-                continue;
-            };
-            if !accepted.request.demand.fits(&self.limits.capacity, &self.used_capacity) {
-                return;
-            }
-            self.queue.pop_first();
-            let request = accepted.request.clone();
-            if let Some(reason) = self.refusal_reason(&request, now) {
-                self.return_task(task, reason, now);
-                continue;
-            }
-            if let Some(accepted) = self.tasks.get_mut(&task) {
-                accepted.started_at = Some(now.elapsed);
-            }
-            self.queued_slots -= request.demand.slots;
-            self.used_capacity += request.demand;
-            let version = EventField::Version(self.directive.version.max(request.version));
-            self.record_event(EventKind::AgentStarted, task, &[version]);
-            self.actions.push(AgentAction::Run(request));
-        }
-    }
-
-    /// Returns a queued task to its entry.
-    fn return_task(&mut self, task: TaskId, reason: NotStartedReason, now: Moment) {
-        let Some(accepted) = self.tasks.remove(&task) else { return };
-        self.queued_slots -= accepted.request.demand.slots;
-        self.release_entry_slots(&accepted);
-        self.record_refused(&accepted.request, reason);
-        self.complete(&accepted, TaskReply::NotStarted(reason), now);
-    }
-
     fn release_entry_slots(&mut self, accepted: &AcceptedTask) {
         if let Some(slots) = self.slots_by_entry.get_mut(&accepted.entry) {
             *slots = slots.saturating_sub(accepted.request.demand.slots);
@@ -395,20 +264,6 @@
         self.recheck_queue(now);
     }
 
-    /// Returns every queued task that may no longer start, then starts others while there is free
-    /// capacity.
-    fn recheck_queue(&mut self, now: Moment) {
-        let queued: Vec<TaskId> = self.queue.iter().map(|(_, task)| *task).collect();
-        for task in queued {
-            let Some(accepted) = self.tasks.get(&task) else { continue };
-            if let Some(reason) = self.refusal_reason(&accepted.request.clone(), now) {
-                self.return_task(task, reason, now);
-            }
-        }
-        self.queue.retain(|(_, task)| self.tasks.contains_key(task));
-        self.dispatch_queued(now);
-    }
-
     fn tick(&mut self, now: Moment) {
         self.outcomes.expire(now.elapsed);
         self.stop_unleased_tasks(now);
