--- a/crates/core/tests/components.rs
+++ b/crates/core/tests/components.rs
@@ -333,3 +333,26 @@
 
     assert_eq!(clock.tick(now), HybridTimestamp { wall_us: 100_000_000, counter: 0 });
 }
+
+/// Callers on the users' platform submit a job again 1.3 s after they lost its entry, and the runs
+/// of the first submission must have ended by then.
+#[test]
+#[ignore = "KNOWN-RED: run_lease_of_many_agents"]
+fn the_runs_of_a_lost_entry_end_before_callers_submit_again_at_160_agents() {
+    let identity = EntryIdentity { name: "e".into(), incarnation: 1, domain: "d".into(), rank: 0 };
+    let limits = EntryLimits {
+        run_lease: Duration::from_millis(900),
+        heartbeat: Duration::from_millis(300),
+        heartbeats_per_second: 150,
+        ..EntryLimits::default()
+    };
+    let mut machine = EntryMachine::new(identity, limits, 1);
+    let now = Moment::new(seconds(10), seconds(1_000));
+    for server in 0..160 {
+        machine.handle(EntryEvent::Heartbeat(server_report(server)), now);
+    }
+
+    let run_lease = machine.directive("s-0", "d", now).run_lease;
+
+    assert!(run_lease < Some(Duration::from_millis(1_300)), "{run_lease:?}");
+}
