--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -15,9 +15,8 @@
 //! accepted, `estimate` whether it can meet its deadline, `priority` and `load_shedding` what
 //! happens while it waits, `dispatch` places and retries its tasks, `outcome` handles the replies
 //! of agents, and `completion` answers the job; `refusal_event` records why a job or a task was
-//! turned away. `control_plane` handles configuration, claims,
-//! other entries and heartbeats, and `gauges` counts for
-//! metrics and readiness.
+//! turned away. `control_plane` handles configuration, claims, other entries and heartbeats, and
+//! `gauges` counts for metrics and readiness.
 
 mod action;
 mod admission;
