--- a/review/standins/platform_parts.py
+++ b/review/standins/platform_parts.py
@@ -6,6 +6,7 @@
 import os
 import random
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -174,7 +175,7 @@
             self.child = subprocess.Popen(
                 self.deployment.roles[self.role]["run"].split(), cwd=ROOT, env=environment,
                 stdin=subprocess.DEVNULL, stdout=log, stderr=subprocess.STDOUT,
-                preexec_fn=self.deployment.limit_memory)
+                preexec_fn=self.deployment.limit_process)
         self.is_expected_up = True
 
     def signal(self, number):
@@ -186,13 +187,14 @@
 class Deployment:
     """Entries and agents as separate processes; store, runners and platform as stand-ins."""
 
-    def __init__(self, record, entries=3, agents=11, memory_bytes=None):
+    def __init__(self, record, entries=3, agents=11, memory_bytes=None, has_one_core=False):
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         self.templates = {role: (ROOT / settings["template"]).read_text()
                           for role, settings in self.roles.items()}
         self.memory_bytes = memory_bytes
+        self.has_one_core = has_one_core
         self.subnet = self.find_subnet()
         self.store = Store()
         self.store_address = (self.ip(1), STORE_PORT)
@@ -220,10 +222,12 @@
     def ip(self, number):
         return f"{self.subnet}.{number}"
 
-    def limit_memory(self):
+    def limit_process(self):
+        """Gives a new process the memory limit and the one core of its machine."""
         if self.memory_bytes is not None:
-            import resource
             resource.setrlimit(resource.RLIMIT_AS, (self.memory_bytes, self.memory_bytes))
+        if self.has_one_core:
+            os.sched_setaffinity(0, {random.choice(sorted(os.sched_getaffinity(0)))})
 
     def settings_for(self, process):
         store = self.store_addresses.get(process.name, self.store_address)
