Name ended submissions in the answer to a heartbeat

Cause: an entry cancelled the tasks of a job by one message over a pooled connection. In a silent connection it was lost, and the answers to heartbeats went on renewing the run lease of all tasks of the entry. Ruled out by the logs of the run: that the cancellation arrived (no agent_stopped at the agent, which answered three status queries in that time) or that a stop was lost at the worker (it got none). The failed exchange left no line; cancel_unanswered is new, and agent_stopped has a reason.

A lost cancellation is made good by the next heartbeat, before callers submit again.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -33,7 +33,9 @@
 use crate::entry::{
     AgentDirective, InterruptCause, LoadReport, NotStartedReason, StartRequest, TaskReply,
 };
-use crate::id::{EntryName, Incarnation, TaskId, TaskName, Version, incarnation_of, task_name};
+use crate::id::{
+    EntryName, Incarnation, SubmissionId, TaskId, TaskName, Version, incarnation_of, task_name,
+};
 use crate::resources::ResourceAmounts;
 use crate::time::Moment;
 use crate::timeline::{EventField, EventKind, RunOutcome, TimelineEvent, micros};
@@ -51,10 +53,14 @@
     queue_position: Duration,
     /// `None` while the task is queued.
     started_at: Option<Duration>,
-    /// Whether the run was already asked to stop after the lease of its entry expired.
+    /// Whether the run was already asked to stop.
     is_stopping: bool,
 }
 
+/// Maximum number of submissions that a heartbeat lists; later heartbeats list the others once these
+/// have ended.
+const MAX_HELD_SUBMISSIONS: usize = 256;
+
 /// Incarnation of the entry that sent the task.
 fn entry_incarnation(task: TaskId) -> Incarnation {
     incarnation_of(task.submission)
@@ -183,6 +189,13 @@
         self.tasks.len()
     }
 
+    /// Submissions of `entry` with queued or running tasks, oldest first.
+    pub fn held_submissions(&self, entry: &str) -> Vec<SubmissionId> {
+        let held = self.tasks.iter().filter(|(_, accepted)| &*accepted.entry == entry);
+        let submissions: BTreeSet<SubmissionId> = held.map(|(task, _)| task.submission).collect();
+        submissions.into_iter().take(MAX_HELD_SUBMISSIONS).collect()
+    }
+
     /// Tasks that ran, or may have run, when the server was lost; one name for each recent loss.
     pub fn lost_tasks(&self) -> Vec<TaskName> {
         self.losses.tasks()
@@ -262,6 +275,7 @@
     }
 
     fn apply(&mut self, directive: &AgentDirective, sent_at: Duration, now: Moment) {
+        self.cancel_submissions(&directive.ended_submissions, now);
         if let Some(lease) = directive.run_lease {
             // The entry treats its tasks as ended once its lease has expired, so tasks whose lease
             // has expired are stopped before this renewal takes effect.
--- a/crates/core/src/agent/cancel_and_query.rs
+++ b/crates/core/src/agent/cancel_and_query.rs
@@ -2,9 +2,9 @@
 
 use super::{AgentAction, AgentMachine};
 use crate::entry::{NotStartedReason, StartId, TaskReply};
-use crate::id::TaskId;
+use crate::id::{SubmissionId, TaskId};
 use crate::time::Moment;
-use crate::timeline::{EventField, EventKind, micros};
+use crate::timeline::{EventField, EventKind, StopReason, micros};
 use std::time::Duration;
 
 impl AgentMachine {
@@ -16,13 +16,34 @@
         if accepted.started_at.is_none() {
             self.return_task(task, NotStartedReason::Cancelled, now);
             self.dispatch_queued(now);
-        } else if accepted.request.may_stop {
-            self.stop_run(task);
+        } else {
+            self.stop_run(task, StopReason::Cancelled);
         }
     }
 
-    pub(super) fn stop_run(&mut self, task: TaskId) {
-        self.record_event(EventKind::AgentStopped, task, &[]);
+    /// Cancels the tasks of submissions that their entry no longer works on.
+    pub(super) fn cancel_submissions(&mut self, ended: &[SubmissionId], now: Moment) {
+        let held = self.tasks.keys().filter(|task| ended.contains(&task.submission));
+        let mut tasks: Vec<TaskId> = held.copied().collect();
+        tasks.sort_unstable();
+        for task in tasks {
+            let Some(accepted) = self.tasks.get(&task) else { continue };
+            if accepted.started_at.is_none() {
+                self.return_task(task, NotStartedReason::Cancelled, now);
+            } else {
+                self.stop_run(task, StopReason::SubmissionEnded);
+            }
+        }
+        self.dispatch_queued(now);
+    }
+
+    /// Asks the worker to stop a running task, once, if it may be stopped.
+    pub(super) fn stop_run(&mut self, task: TaskId, reason: StopReason) {
+        let Some(accepted) = self.tasks.get_mut(&task) else { return };
+        if !accepted.request.may_stop || std::mem::replace(&mut accepted.is_stopping, true) {
+            return;
+        }
+        self.record_event(EventKind::AgentStopped, task, &[EventField::StopReason(reason)]);
         self.actions.push(AgentAction::Stop { task });
     }
 
--- a/crates/core/src/agent/lease.rs
+++ b/crates/core/src/agent/lease.rs
@@ -4,6 +4,7 @@
 use crate::entry::NotStartedReason;
 use crate::id::TaskId;
 use crate::time::Moment;
+use crate::timeline::StopReason;
 
 impl AgentMachine {
     /// Whether `task` must not run because its entry has not renewed its lease in time.
@@ -20,13 +21,11 @@
         let mut tasks: Vec<TaskId> = unleased.map(|(task, _)| *task).collect();
         tasks.sort_unstable();
         for task in tasks {
-            let Some(accepted) = self.tasks.get_mut(&task) else { continue };
+            let Some(accepted) = self.tasks.get(&task) else { continue };
             if accepted.started_at.is_none() {
                 self.return_task(task, NotStartedReason::PermitLapsed, now);
-            } else if accepted.request.may_stop
-                && !std::mem::replace(&mut accepted.is_stopping, true)
-            {
-                self.stop_run(task);
+            } else {
+                self.stop_run(task, StopReason::LeaseExpired);
             }
         }
         let retention = self.limits.outcome_retention;
--- a/crates/core/src/directory/server.rs
+++ b/crates/core/src/directory/server.rs
@@ -3,7 +3,8 @@
 use super::run_times::{MAX_SLOWDOWN, MIN_SLOWDOWN, MovingAverage};
 use crate::entry::LoadReport;
 use crate::id::{
-    DomainName, Incarnation, PeerAddress, ServerName, ServiceName, TaskName, Version, WorkerName,
+    DomainName, Incarnation, PeerAddress, ServerName, ServiceName, SubmissionId, TaskName, Version,
+    WorkerName,
 };
 use crate::lifecycle::{LifecycleCharts, ServerEvent, ServerState};
 use crate::resources::ResourceAmounts;
@@ -44,6 +45,9 @@
     /// Tasks that ran, or may have run, when the server was lost a short time ago; a task is listed
     /// once for each loss.
     pub lost_tasks: Vec<TaskName>,
+    /// Submissions of the receiving entry with tasks that are queued or running at the agent; the
+    /// oldest of them if there are very many.
+    pub held_submissions: Vec<SubmissionId>,
 }
 
 /// When a server is quarantined, and for how long.
--- a/crates/core/src/entry/control_plane.rs
+++ b/crates/core/src/entry/control_plane.rs
@@ -11,7 +11,7 @@
 use crate::directory::{ReportOutcome, ServerReport};
 use crate::error::{ErrorKind, LimitDetails};
 use crate::freshness::{FreshnessStatus, PeerReport};
-use crate::id::{DomainName, SubmissionId, TeamName, Version};
+use crate::id::{DomainName, SubmissionId, TeamName, Version, incarnation_of};
 use crate::job::ActiveJob;
 use crate::lifecycle::{DomainEvent, DomainState, JobEvent, JobState, LifecycleCharts};
 use crate::time::Moment;
@@ -317,21 +317,31 @@
         }
     }
 
-    /// Directive for the agent of `server`, returned in reply to a heartbeat.
-    pub fn directive(&self, server: &str, domain: &str, now: Moment) -> AgentDirective {
+    /// Directive for the agent that sent `report`, returned in reply to this heartbeat.
+    pub fn directive(&self, report: &ServerReport, now: Moment) -> AgentDirective {
         let configuration = self.ledger.configuration();
         let until = self.freshness_status.until().filter(|_| self.ledger.is_complete());
         AgentDirective {
             entry_incarnation: self.identity.incarnation,
             version: configuration.version,
-            is_in_service: configuration.is_in_service(domain),
-            is_leaving: configuration.is_leaving(server),
+            is_in_service: configuration.is_in_service(&report.domain),
+            is_leaving: configuration.is_leaving(&report.name),
             valid_for: until.map_or(Duration::ZERO, |until| until.saturating_sub(now.elapsed)),
             heartbeat_interval: self.heartbeat_interval(),
             run_lease: (!self.limits.run_lease.is_zero()).then(|| self.run_lease()),
+            ended_submissions: self.ended_submissions(&report.held_submissions),
         }
     }
 
+    /// Those of the `held` submissions that this incarnation of the entry received and no longer
+    /// works on.
+    fn ended_submissions(&self, held: &[SubmissionId]) -> Vec<SubmissionId> {
+        let is_ended = |id: &SubmissionId| {
+            incarnation_of(*id) == self.identity.incarnation && !self.jobs.contains_key(id)
+        };
+        held.iter().copied().filter(is_ended).collect()
+    }
+
     /// How long tasks may run after a heartbeat. The lease spans several heartbeats, so that one of
     /// them may be lost.
     pub(super) fn run_lease(&self) -> Duration {
--- a/crates/core/src/entry/messages.rs
+++ b/crates/core/src/entry/messages.rs
@@ -1,6 +1,6 @@
 //! Messages between an entry and an agent.
 
-use crate::id::{Incarnation, JobName, RequestName, ServiceName, TaskId, Version};
+use crate::id::{Incarnation, JobName, RequestName, ServiceName, SubmissionId, TaskId, Version};
 use crate::named_enum::named_enum;
 use crate::resources::ResourceAmounts;
 use bytes::Bytes;
@@ -156,4 +156,7 @@
     /// How long tasks of this entry may run, counted from when the heartbeat was sent; `None` if
     /// they run without a lease.
     pub run_lease: Option<Duration>,
+    /// Submissions of the heartbeat that the entry has answered or given up. Their tasks are of no
+    /// use, and the cancellations that the entry sent for them may be lost.
+    pub ended_submissions: Vec<SubmissionId>,
 }
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -6,7 +6,7 @@
 
 mod field;
 
-pub use field::{EventField, RunOutcome};
+pub use field::{EventField, RunOutcome, StopReason};
 
 use crate::id::{Incarnation, SubmissionId, TaskIndex, Version};
 use crate::named_enum::named_enum;
--- a/crates/core/src/timeline/field.rs
+++ b/crates/core/src/timeline/field.rs
@@ -24,6 +24,19 @@
     }
 }
 
+named_enum! {
+    /// Why an agent asked the worker to stop a run.
+    pub enum StopReason {
+        /// The entry cancelled the task.
+        Cancelled = "cancelled",
+        /// The answer to a heartbeat shows that the entry no longer works on the submission, so its
+        /// cancellation has not arrived.
+        SubmissionEnded = "submission_ended",
+        /// The entry has not renewed its run lease.
+        LeaseExpired = "lease_expired",
+    }
+}
+
 /// Field of an event, written as key=value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EventField {
@@ -77,6 +90,8 @@
     Result(RunOutcome),
     /// Why a run ended without a result.
     Cause(InterruptCause),
+    /// Why a run was asked to stop.
+    StopReason(StopReason),
 }
 
 impl fmt::Display for EventField {
@@ -106,6 +121,7 @@
             Self::Why(reason) => write!(f, "why={}", reason.name()),
             Self::Result(outcome) => write!(f, "result={}", outcome.name()),
             Self::Cause(cause) => write!(f, "cause={}", cause.name()),
+            Self::StopReason(reason) => write!(f, "reason={}", reason.name()),
         }
     }
 }
@@ -139,6 +155,7 @@
             "key" => crate::id::parse_id(value).map(Self::Key),
             "why" => NotStartedReason::from_name(value).map(Self::Why),
             "cause" => InterruptCause::from_name(value).map(Self::Cause),
+            "reason" => StopReason::from_name(value).map(Self::StopReason),
             "result" => RunOutcome::from_name(value).map(Self::Result),
             _ => None,
         }
--- a/crates/core/tests/agent.rs
+++ b/crates/core/tests/agent.rs
@@ -9,7 +9,7 @@
 use parsleyspool_core::entry::{
     AgentDirective, InterruptCause, NotStartedReason, StartRequest, TaskReply,
 };
-use parsleyspool_core::id::{TaskId, submission_id, task_name};
+use parsleyspool_core::id::{SubmissionId, TaskId, submission_id, task_name};
 use parsleyspool_core::resources::ResourceAmounts;
 use parsleyspool_core::route::RouteTable;
 use parsleyspool_core::time::Moment;
@@ -46,6 +46,15 @@
 
 /// Delivers the answer to a heartbeat sent at `sent_ms`, which grants a run lease of 900 ms.
 fn renew_lease(agent: &mut AgentMachine, sent_ms: u64) {
+    answer_heartbeat(agent, sent_ms, Vec::new());
+}
+
+/// Like [`renew_lease`], with the submissions that the entry no longer works on.
+fn answer_heartbeat(
+    agent: &mut AgentMachine,
+    sent_ms: u64,
+    ended_submissions: Vec<SubmissionId>,
+) -> Vec<AgentAction> {
     let directive = AgentDirective {
         entry_incarnation: ENTRY_INCARNATION,
         version: 1,
@@ -54,8 +63,9 @@
         valid_for: millis(3_000),
         heartbeat_interval: millis(300),
         run_lease: Some(millis(900)),
+        ended_submissions,
     };
-    agent.handle(AgentEvent::Directive { directive, sent_at: millis(sent_ms) }, at(sent_ms));
+    agent.handle(AgentEvent::Directive { directive, sent_at: millis(sent_ms) }, at(sent_ms))
 }
 
 fn start_request(index: u32, attempt: u32, demand: ResourceAmounts) -> StartRequest {
@@ -150,6 +160,28 @@
     assert_eq!(replies(&actions), [TaskReply::NotStarted(NotStartedReason::Cancelled)]);
 }
 
+/// Failure: a cancellation is lost in a silent connection, and the caller submits the job again while
+/// the run goes on.
+#[test]
+fn tasks_whose_cancellation_was_lost_end_with_the_next_heartbeat() {
+    let mut agent = leased_agent();
+    renew_lease(&mut agent, 0);
+    let running = start_request(0, 1, slots(4));
+    let submission = running.task.submission;
+    send_start(&mut agent, running, 10);
+    send_start(&mut agent, start_request(1, 1, one_slot()), 20);
+
+    let held = agent.held_submissions("e");
+    let ended = answer_heartbeat(&mut agent, 300, held.clone());
+    let still_held = agent.held_submissions("e");
+    let again = answer_heartbeat(&mut agent, 600, still_held.clone());
+
+    assert_eq!((&held, &still_held), (&vec![submission], &vec![submission]));
+    assert_eq!((count_stops(&ended), count_stops(&again)), (1, 0));
+    assert_eq!(replies(&ended), [TaskReply::NotStarted(NotStartedReason::Cancelled)]);
+    assert!(agent.held_submissions("f").is_empty(), "lists only submissions of the receiver");
+}
+
 #[test]
 fn a_run_that_is_being_stopped_holds_its_slots_and_memory_until_it_ends() {
     let mut agent = leased_agent();
--- a/crates/core/tests/components.rs
+++ b/crates/core/tests/components.rs
@@ -228,7 +228,7 @@
         machine.handle(EntryEvent::Heartbeat(server_report(server)), at(10));
     }
 
-    let directive = machine.directive("s-0", "d", at(10));
+    let directive = machine.directive(&server_report(0), at(10));
     machine.handle(EntryEvent::Tick, at(39));
     let silent_early = count_silent(&machine);
     machine.handle(EntryEvent::Tick, at(41));
@@ -260,6 +260,7 @@
         clock: Duration::ZERO,
         version: 0,
         lost_tasks: Vec::new(),
+        held_submissions: Vec::new(),
     }
 }
 
@@ -353,7 +354,7 @@
         machine.handle(EntryEvent::Heartbeat(server_report(server)), now);
     }
 
-    let run_lease = machine.directive("s-0", "d", now).run_lease;
+    let run_lease = machine.directive(&server_report(0), now).run_lease;
 
     assert!(run_lease < Some(Duration::from_millis(1_300)), "{run_lease:?}");
 }
--- a/crates/core/tests/explore/cluster/processes.rs
+++ b/crates/core/tests/explore/cluster/processes.rs
@@ -240,12 +240,12 @@
             clock: now.elapsed,
             version: process.machine.version(),
             lost_tasks: process.machine.lost_tasks(),
+            held_submissions: process.machine.held_submissions(&name),
         };
-        let (name, domain, incarnation) =
-            (process.name.clone(), process.domain.clone(), process.machine.incarnation());
-        self.handle_entry_event(entry, EntryEvent::Heartbeat(report));
+        let incarnation = process.machine.incarnation();
+        self.handle_entry_event(entry, EntryEvent::Heartbeat(report.clone()));
         let entry_now = self.moment(self.entries[entry].epoch);
-        let mut directive = self.entries[entry].machine.directive(&name, &domain, entry_now);
+        let mut directive = self.entries[entry].machine.directive(&report, entry_now);
         if self.fault == PlantedFault::PermitsTooLong {
             directive.valid_for = Duration::from_secs(100);
             directive.is_in_service = true;
--- a/crates/core/tests/session/harness.rs
+++ b/crates/core/tests/session/harness.rs
@@ -336,6 +336,7 @@
             clock: self.now,
             version: 0,
             lost_tasks: server.lost_tasks.clone(),
+            held_submissions: Vec::new(),
         };
         let title = format!("heartbeat of {}", server.name);
         self.send(&title, EntryEvent::Heartbeat(report));
--- a/crates/daemon/src/agent/actor.rs
+++ b/crates/daemon/src/agent/actor.rs
@@ -212,6 +212,7 @@
             clock: self.shared.interfaces.clock.now().elapsed,
             version: self.machine.version(),
             lost_tasks: self.machine.lost_tasks(),
+            held_submissions: self.machine.held_submissions(&message.0),
         })
     }
 }
--- a/crates/daemon/src/entry/actor.rs
+++ b/crates/daemon/src/entry/actor.rs
@@ -284,11 +284,11 @@
         message: HandleHeartbeat,
         ctx: &mut Context<Self>,
     ) -> DirectiveMessage {
-        let (name, domain) = (message.0.name.clone(), message.0.domain.clone());
+        let report = message.0;
         let address = ctx.mailbox().address();
-        self.handle_event(EntryEvent::Heartbeat(message.0), &address);
+        self.handle_event(EntryEvent::Heartbeat(report.clone()), &address);
         let now = self.shared.interfaces.clock.now();
-        let directive = self.machine.directive(&name, &domain, now);
+        let directive = self.machine.directive(&report, now);
         let is_recent = |peer: &KnownPeer| peer.last_seen + PEER_EXPIRY > now.elapsed;
         let mut entries: BTreeMap<String, String> = self
             .known_peers
--- a/crates/daemon/src/peer_client.rs
+++ b/crates/daemon/src/peer_client.rs
@@ -184,10 +184,15 @@
     fn cancel(&self, address: PeerAddress, message: CancelMessage) -> BoxFuture<'_, ()> {
         async move {
             self.metrics.count_message(MessageKind::Cancel);
-            let mode = ConnectionMode::Pooled;
+            let (mode, tasks) = (ConnectionMode::Pooled, message.tasks.len());
             let exchange =
                 self.send::<_, ()>(&address, "/peer/cancel", message, mode, CONTROL_TIMEOUT);
-            let _ = exchange.await;
+            // The agent learns of the ended submissions from the answer to its next heartbeat.
+            if let Err(failure) = exchange.await
+                && self.recorder.try_acquire_line()
+            {
+                tracing::warn!(event = "cancel_unanswered", agent = %address, tasks, ?failure);
+            }
         }
         .boxed()
     }
--- a/crates/standins/src/cost.rs
+++ b/crates/standins/src/cost.rs
@@ -144,6 +144,7 @@
             clock: self.now,
             version: 1,
             lost_tasks: Vec::new(),
+            held_submissions: Vec::new(),
         }
     }
 
@@ -313,7 +314,8 @@
 pub fn message_sizes(entries: usize) -> MessageSizes {
     let mut entry = PopulatedEntry::new(1, 1);
     entry.receive_heartbeat(7_799);
-    let directive = entry.machine.directive("server-7799", "d-1", moment(entry.now));
+    let report = entry.next_report(7_799);
+    let directive = entry.machine.directive(&report, moment(entry.now));
     let names = (0..entries)
         .map(|index| (format!("entry-{index}"), format!("10.1.0.{index}:7201")))
         .collect();
--- a/crates/wire/src/peer/control.rs
+++ b/crates/wire/src/peer/control.rs
@@ -53,6 +53,10 @@
     /// once for each loss.
     #[serde(default)]
     pub lost_tasks: Vec<String>,
+    /// Submissions of the receiving entry with tasks that are queued or running at the agent; the
+    /// oldest of them if there are very many.
+    #[serde(default, rename = "held")]
+    pub held_submissions: Vec<u128>,
 }
 
 impl From<HeartbeatMessage> for ServerReport {
@@ -77,6 +81,7 @@
             clock: Duration::from_micros(wire.clock_us),
             version: wire.version,
             lost_tasks: wire.lost_tasks.into_iter().map(Into::into).collect(),
+            held_submissions: wire.held_submissions,
         }
     }
 }
@@ -101,6 +106,7 @@
             clock_us: micros(report.clock),
             version: report.version,
             lost_tasks: report.lost_tasks.iter().map(ToString::to_string).collect(),
+            held_submissions: report.held_submissions.clone(),
         }
     }
 }
@@ -132,6 +138,9 @@
     pub heartbeat_interval_us: u64,
     /// Peer address of each entry that the answering entry knows, itself included, by entry name.
     pub entries: BTreeMap<String, String>,
+    /// Submissions of the heartbeat that the entry has answered or given up.
+    #[serde(default, rename = "ended")]
+    pub ended_submissions: Vec<u128>,
 }
 
 impl DirectiveMessage {
@@ -147,6 +156,7 @@
             valid_for_us: micros(directive.valid_for),
             heartbeat_interval_us: micros(directive.heartbeat_interval),
             entries,
+            ended_submissions: directive.ended_submissions.clone(),
         }
     }
 }
@@ -161,6 +171,7 @@
             is_leaving: wire.is_leaving,
             valid_for: Duration::from_micros(wire.valid_for_us),
             heartbeat_interval: Duration::from_micros(wire.heartbeat_interval_us),
+            ended_submissions: wire.ended_submissions.clone(),
         }
     }
 }
