Saturate the estimates, whatever run time a caller declares

The processes stayed up.

Cause: EntryMachine::expected_completion_time multiplied the declared run time by the slots of the task, and Duration panics on overflow; the panic ended the actor. The logs tell it from the other hypothesis, a spoiled average that makes every job look unreachable: each entry has the panic, and no job_refused after it.

Run times and slacks are now at most 24 h in estimates, and the sums and products of the estimate, the placement and the wait limits saturate. The same overflow was in the placement (reached in the first seconds of an entry, which refuses nothing on estimates) and in the latency objective, so that one number of an operator would have stopped all entries.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -67,6 +67,10 @@
     }
 }
 
+/// Longest run time and longest slack that estimates use, whatever callers and operators state;
+/// longer than any deadline.
+pub const MAX_RUN_TIME: Duration = Duration::from_hours(24);
+
 /// Time within which the complete answer to a job is wanted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LatencyObjective {
@@ -83,12 +87,14 @@
     /// Longest time that a job may wait until its longest task, which takes `run_time`, starts.
     pub fn slack(&self, run_time: Duration) -> Duration {
         let stretch = self.stretch_percent.saturating_sub(100);
-        run_time * stretch / 100 + self.allowance
+        let slack = run_time.saturating_mul(stretch) / 100;
+        slack.saturating_add(self.allowance).min(MAX_RUN_TIME)
     }
 
     /// Time after which the answer to a job is of no use if its longest task takes `run_time`.
     pub fn expires_after(&self, run_time: Duration) -> Duration {
-        (run_time + self.slack(run_time)) * self.expiry_percent / 100
+        let objective = run_time.saturating_add(self.slack(run_time));
+        (objective.saturating_mul(self.expiry_percent) / 100).min(MAX_RUN_TIME)
     }
 }
 
@@ -118,13 +124,15 @@
 
 impl ServiceSpec {
     /// Resources and run time of a task: those that the task states, or else those of its request.
+    /// The run time is at most [`MAX_RUN_TIME`].
     pub fn demand(&self, task: &TaskRequest) -> (ResourceAmounts, Duration) {
         if let Some(demand) = task.demand {
-            return (demand.resources, demand.run_time);
+            return (demand.resources, demand.run_time.min(MAX_RUN_TIME));
         }
         let rule = self.requests.get(&task.request_name);
         let slots = rule.map_or(1, |rule| rule.slots.max(1));
-        (ResourceAmounts::from_slots(slots), rule.map_or(Duration::ZERO, |rule| rule.run_time))
+        let run_time = rule.map_or(Duration::ZERO, |rule| rule.run_time);
+        (ResourceAmounts::from_slots(slots), run_time.min(MAX_RUN_TIME))
     }
 }
 
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -257,8 +257,8 @@
         task.expected_run_time = candidate.run_time;
         let age = now.elapsed.saturating_sub(server.load_at());
         task.load_belief = LoadBelief { load: candidate.load, age };
-        let delay = candidate.finish_time() * STATUS_QUERY_FACTOR + self.limits.status_query_after;
-        let query_at = now.elapsed + delay;
+        let delay = candidate.finish_time().saturating_mul(STATUS_QUERY_FACTOR);
+        let query_at = (now.elapsed + self.limits.status_query_after).saturating_add(delay);
         task.status_query_at = Some(query_at);
         server.reserve(task.demand.slots);
         task.sent_at = server.agent_time(now.elapsed);
--- a/crates/core/src/entry/estimate.rs
+++ b/crates/core/src/entry/estimate.rs
@@ -53,16 +53,17 @@
         for task in &request.tasks {
             let (demand, declared) = spec.demand(task);
             let run_time = self.run_times.expected(&request.service, &task.request_name, declared);
-            work += run_time * demand.slots.max(1);
+            work = work.saturating_add(run_time.saturating_mul(demand.slots.max(1)));
             longest = longest.max(run_time);
         }
         let count = u32::try_from(request.tasks.len()).unwrap_or(u32::MAX).max(1);
         let mean =
             if capacity.mean_run_time.is_zero() { work / count } else { capacity.mean_run_time };
         let wait = mean.saturating_mul(self.open_tasks_of(&request.team));
-        let wait = time_at_speed(wait, capacity.speed) * WAIT_SAFETY_FACTOR;
+        let wait = time_at_speed(wait, capacity.speed).saturating_mul(WAIT_SAFETY_FACTOR);
         let overtaking = wait.min(self.limits.task_queue_penalty.saturating_mul(count));
-        longest.max(wait + time_at_speed(work, capacity.speed)) + overtaking
+        let finish = wait.saturating_add(time_at_speed(work, capacity.speed));
+        longest.max(finish).saturating_add(overtaking)
     }
 
     /// Tasks of `team` accepted and not yet answered, at all entries.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -34,8 +34,9 @@
     /// Expected time until the task finishes, without the time to reach the server.
     pub fn finish_time(&self) -> Duration {
         let slots = self.slots.max(1);
-        let excess = (self.load + self.demand).saturating_sub(slots);
-        self.run_time + self.mean_run_time * excess / slots
+        let excess = self.load.saturating_add(self.demand).saturating_sub(slots);
+        let wait = self.mean_run_time.saturating_mul(excess) / slots;
+        self.run_time.saturating_add(wait)
     }
 }
 
@@ -94,7 +95,7 @@
         let cost = |candidate: &PlacementCandidate| {
             let cross_domain_cost =
                 if candidate.is_same_domain { Duration::ZERO } else { CROSS_DOMAIN_COST };
-            candidate.finish_time() + cross_domain_cost
+            candidate.finish_time().saturating_add(cross_domain_cost)
         };
         position_of_min(candidates, cost)
     }
--- a/crates/core/tests/entry/fixtures.rs
+++ b/crates/core/tests/entry/fixtures.rs
@@ -1,12 +1,14 @@
 //! Entry with one service and one backend server, and the events that it receives.
 
 use bytes::Bytes;
-use parsleyspool_core::config::{ConfigSnapshot, Configuration, RequestRule, ServiceSpec};
+use parsleyspool_core::config::{
+    ConfigSnapshot, Configuration, LatencyObjective, RequestRule, ServiceSpec,
+};
 use parsleyspool_core::directory::ServerReport;
 use parsleyspool_core::entry::{
     EntryAction, EntryEvent, EntryIdentity, EntryLimits, EntryMachine, StartId,
 };
-use parsleyspool_core::job::{JobRequest, TaskRequest};
+use parsleyspool_core::job::{JobRequest, TaskDemand, TaskRequest};
 use parsleyspool_core::resources::ResourceAmounts;
 use parsleyspool_core::time::Moment;
 use std::collections::BTreeMap;
@@ -23,8 +25,8 @@
     Moment::new(Duration::from_millis(elapsed_ms), Duration::from_secs(1_000))
 }
 
-fn configuration() -> ConfigSnapshot {
-    let rule = RequestRule { idempotent: true, ..RequestRule::default() };
+fn configuration(objective: Option<LatencyObjective>) -> ConfigSnapshot {
+    let rule = RequestRule { idempotent: true, objective, ..RequestRule::default() };
     let spec = ServiceSpec {
         team: "t".into(),
         default_deadline: DEADLINE,
@@ -36,12 +38,20 @@
 
 /// Entry that knows its configuration.
 pub fn entry(limits: EntryLimits) -> EntryMachine {
+    entry_with_objective(limits, None)
+}
+
+/// Entry whose requests have this latency objective.
+pub fn entry_with_objective(
+    limits: EntryLimits,
+    objective: Option<LatencyObjective>,
+) -> EntryMachine {
     let identity =
         EntryIdentity { name: "e".into(), incarnation: INCARNATION, domain: "d".into(), rank: 0 };
     let lease = Duration::from_secs(60);
     let limits = EntryLimits { lease, max_attempts: 100, ..limits };
     let mut machine = EntryMachine::new(identity, limits, 1);
-    let snapshot = Some(configuration());
+    let snapshot = Some(configuration(objective));
     let requested_at = Duration::ZERO;
     machine.handle(EntryEvent::ConfigFetched { snapshot, requested_at }, at(0));
     machine
@@ -49,16 +59,31 @@
 
 /// Submits a job at 10 ms and returns the starts that it leads to.
 pub fn submit(machine: &mut EntryMachine, waiter_id: u64, tasks: usize) -> Vec<StartId> {
-    let task = TaskRequest { request_name: "look".into(), payload: Bytes::new(), demand: None };
+    let actions = submit_job(machine, waiter_id, vec![task(None); tasks], 10);
+    starts(actions)
+}
+
+/// Task of the service, with the `demand` that the caller declares.
+pub fn task(demand: Option<TaskDemand>) -> TaskRequest {
+    TaskRequest { request_name: "look".into(), payload: Bytes::new(), demand }
+}
+
+/// Submits a job of these tasks.
+pub fn submit_job(
+    machine: &mut EntryMachine,
+    waiter_id: u64,
+    tasks: Vec<TaskRequest>,
+    now_ms: u64,
+) -> Vec<EntryAction> {
     let request = JobRequest {
         name: format!("j-{waiter_id}").into(),
         team: "t".into(),
         service: "s".into(),
         deadline: None,
         created_at: None,
-        tasks: vec![task; tasks],
+        tasks,
     };
-    starts(machine.handle(EntryEvent::Submit { waiter_id, request }, at(10)))
+    machine.handle(EntryEvent::Submit { waiter_id, request }, at(now_ms))
 }
 
 pub fn report(sequence: u64, load: u32, own_load: u32) -> ServerReport {
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of an entry under load patterns and faults, one module each.
 
 mod backlog;
+mod extreme_numbers;
 mod fixtures;
 mod lost_cancellation;
