Drop a submission whose caller has left before its admission

Cause: a message to the actor whose sender gives up is still delivered, but the message that reports the disconnection may come first. The actor ignored a disconnection of an unknown caller and admitted the job afterwards; nobody waited for it, and nothing cancelled it. Shown by lines at the actor (a trial): of eight such requests of one resumption, three were reported gone before they came. The cancellation was not lost on its way to the agent: there is no job_cancelled. Not only on resumption: of 200 jobs given up at once at an idle entry 189 stayed open.

The actor now looks whether the answer channel is still open, and the channel closes before the disconnection is reported.

--- a/crates/daemon/src/entry/actor.rs
+++ b/crates/daemon/src/entry/actor.rs
@@ -251,6 +251,13 @@
     type Return = ();
 
     async fn handle(&mut self, message: CallerEvent, ctx: &mut Context<Self>) {
+        // The message that reports the disconnection may have come first.
+        if message.waiter.is_closed() {
+            if self.shared.recorder.try_acquire_line() {
+                tracing::info!(event = "caller_left_before_admission", waiter = message.waiter_id);
+            }
+            return;
+        }
         self.waiters.insert(message.waiter_id, message.waiter);
         let address = ctx.mailbox().address();
         self.handle_event(message.event, &address);
--- a/crates/daemon/src/entry/handle.rs
+++ b/crates/daemon/src/entry/handle.rs
@@ -74,8 +74,10 @@
     ) -> Result<CallerAnswer, SubmitError> {
         let waiter_id = NEXT_WAITER_ID.fetch_add(1, Ordering::Relaxed);
         let event = event(waiter_id);
-        let (waiter, answer) = oneshot::channel();
+        // Dropped after the answer channel, so that the actor sees a closed channel once it has been
+        // told of the disconnection.
         let mut guard = DisconnectGuard { waiter_id, address: Some(self.address.clone()) };
+        let (waiter, answer) = oneshot::channel();
         if self.address.send(CallerEvent { waiter_id, event, waiter }).await.is_err() {
             guard.disarm();
             return Err(SubmitError::NotRun);
--- a/crates/standins/tests/end_to_end.rs
+++ b/crates/standins/tests/end_to_end.rs
@@ -1,5 +1,7 @@
 //! End-to-end tests: requests pass through all roles over real sockets, in one process.
 
+use futures_util::FutureExt;
+use parsleyspool_core::job::JobRequest;
 use parsleyspool_standins::embedded::{ClusterOptions, EmbeddedCluster};
 use parsleyspool_standins::proxy::{LinkDirection, LinkProxy};
 use parsleyspool_wire::caller::{AnswerBody, ErrorBody, SubmitBody, TaskBody};
@@ -9,6 +11,9 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+/// Time in which an entry notices that callers have left.
+const NOTICE_TIME: Duration = Duration::from_secs(1);
+
 fn put_token_service() -> ChangeWire {
     let rule = |idempotent| RequestWire::new(idempotent, Duration::from_millis(20), 1);
     let requests =
@@ -225,3 +230,24 @@
     assert_eq!(cluster.backends.iter().map(|backend| backend.stop_count()).sum::<u32>(), 24);
     cluster.shut_down();
 }
+
+/// Failure: the report that a caller has left overtakes its job, which then runs with nobody waiting
+/// and is never cancelled.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_whose_caller_left_before_its_admission_does_not_run() {
+    let cluster = ready_cluster().await;
+    let handle = cluster.entries[0].components.handle();
+    let long = |number: usize| {
+        let mut job = job(&format!("left-{number}"), "balance", 1);
+        job.tasks[0].payload = "9s t".to_owned();
+        JobRequest::try_from(job).expect("a valid job")
+    };
+
+    for number in 0..200 {
+        let _ = handle.submit(long(number)).now_or_never();
+    }
+    tokio::time::sleep(NOTICE_TIME).await;
+
+    assert_eq!(cluster.status(0).await.expect("the entry answers").jobs, 0);
+    cluster.shut_down();
+}
