Start nothing on resumption until callers that left are noticed

Cause: a request counts as new when it is read, and its tasks were sent before the entry noticed, some milliseconds later, that the connection had ended.

An entry whose events paused for over 1 s knows that it stood still: it fails the jobs whose deadline has passed, so that the end of a stopped run does not start a task again, and starts nothing for 0.3 s, while the disconnections come in. A caller submits again 1.3 s after it left, so a shorter pause cannot contain both. Agents accept its starts only after their next heartbeat anyway.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -15,7 +15,8 @@
 //! accepted, `estimate` whether it can meet its deadline, `priority` and `load_shedding` what
 //! happens while it waits, `dispatch` places and retries its tasks, `outcome` handles the replies
 //! of agents, `crash_limit` gives up tasks that crash their servers, and `completion` answers the
-//! job; `refusal_event` records why a job or a task was turned away. `control_plane` handles
+//! job; `refusal_event` records why a job or a task was turned away. `resume` holds back starts after
+//! the process stood still. `control_plane` handles
 //! configuration, claims, other entries and heartbeats, and `gauges` counts for metrics and
 //! readiness.
 
@@ -36,6 +37,7 @@
 mod outcome;
 mod priority;
 mod refusal_event;
+mod resume;
 
 pub use action::EntryAction;
 pub use event::{EntryEvent, ExchangeFailure, StreamRead};
@@ -163,6 +165,8 @@
     next_submission: u64,
     /// Latest version whose acceptance is recorded in the timeline.
     accepted_version: Version,
+    /// No task starts before this time.
+    starts_held_until: Duration,
     phase: EntryPhase,
     actions: Vec<EntryAction>,
 }
@@ -208,6 +212,7 @@
             open_tasks: 0,
             next_submission: 0,
             accepted_version: 0,
+            starts_held_until: Duration::ZERO,
             phase: EntryPhase::Serving,
             actions: Vec::new(),
             identity,
@@ -238,6 +243,7 @@
             }
             EntryEvent::PeerSnapshot(snapshot) => self.handle_peer_snapshot(snapshot, now),
             EntryEvent::Tick => self.handle_tick(now),
+            EntryEvent::Resumed => self.handle_resumption(now),
             EntryEvent::Drain => self.begin_drain(),
             EntryEvent::CloseAuditLog => self.phase = EntryPhase::Closing,
         }
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -61,7 +61,7 @@
 
     /// Dispatches the queued tasks of one service until no server has free capacity.
     pub(super) fn dispatch_service(&mut self, service: &str, now: Moment) {
-        if !self.is_start_permitted(now) {
+        if !self.is_start_permitted(now) || self.is_holding_starts(now) {
             return;
         }
         let service: ServiceName = service.into();
@@ -96,7 +96,8 @@
     /// Dispatches queued tasks of the services that the server at `index` offers while that server
     /// has free capacity.
     pub(super) fn dispatch_to_server(&mut self, index: usize, contention: Contention, now: Moment) {
-        if self.queue.is_empty() || !self.is_start_permitted(now) {
+        let may_start = self.is_start_permitted(now) && !self.is_holding_starts(now);
+        if self.queue.is_empty() || !may_start {
             return;
         }
         let Some(server) = self.directory.get(index) else { return };
--- a/crates/core/src/entry/event.rs
+++ b/crates/core/src/entry/event.rs
@@ -93,6 +93,9 @@
     PeerSnapshot(ConfigSnapshot),
     /// Periodic timer.
     Tick,
+    /// The process stood still for so long that callers may have left and submitted their jobs
+    /// elsewhere. It comes before all that was received in the meantime.
+    Resumed,
     /// A planned stop begins; no further job is accepted.
     Drain,
     /// The listeners are closed; the closing record of the audit log is appended once the last job
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -4,3 +4,4 @@
 mod extreme_numbers;
 mod fixtures;
 mod lost_cancellation;
+mod resumption;
--- a/crates/daemon/src/entry/actor.rs
+++ b/crates/daemon/src/entry/actor.rs
@@ -50,6 +50,8 @@
     pub(super) shared: Arc<EntryShared>,
     /// Answer channels of the waiting callers, by waiter ID.
     waiters: HashMap<u64, oneshot::Sender<CallerAnswer>>,
+    /// When the latest event was handled.
+    last_event_at: Duration,
     pub(super) known_peers: BTreeMap<String, KnownPeer>,
 }
 
@@ -65,18 +67,31 @@
     pub(crate) fn new(components: ActorComponents) -> Self {
         Self {
             machine: components.machine,
+            last_event_at: components.shared.interfaces.clock.now().elapsed,
             shared: components.shared,
             waiters: HashMap::new(),
             known_peers: BTreeMap::new(),
         }
     }
 
-    /// Passes an event to the state machine and executes the resulting actions.
-    ///
-    /// All cancellations for one agent are sent in one message.
+    /// Passes an event to the state machine and executes the resulting actions, after those of a
+    /// resumption if the process stood still.
     fn handle_event(&mut self, event: EntryEvent, address: &WeakAddress<Self>) {
         let now = self.shared.interfaces.clock.now();
+        let silence = now.elapsed.saturating_sub(self.last_event_at);
+        self.last_event_at = now.elapsed;
+        if silence > MAX_EVENT_GAP {
+            tracing::warn!(event = "process_resumed", stood_still_ms = silence.as_millis());
+            let actions = self.machine.handle(EntryEvent::Resumed, now);
+            self.execute_actions(actions, address);
+        }
         let actions = self.machine.handle(event, now);
+        self.execute_actions(actions, address);
+        self.publish_routes();
+    }
+
+    /// Executes actions in order, but sends all cancellations for one agent in one message.
+    fn execute_actions(&mut self, actions: Vec<EntryAction>, address: &WeakAddress<Self>) {
         let mut cancels: HashMap<PeerAddress, Vec<TaskId>> = HashMap::new();
         for action in actions {
             match action {
@@ -89,7 +104,6 @@
         for (agent, tasks) in cancels {
             self.send_cancel(agent, tasks);
         }
-        self.publish_routes();
     }
 
     /// Publishes the routes if the active configuration changed.
@@ -216,6 +230,9 @@
     }
 }
 
+/// Longest time between two events of a process that runs, far above the tick interval. A caller that
+/// gives up and submits its job elsewhere takes longer.
+const MAX_EVENT_GAP: Duration = Duration::from_secs(1);
 /// Time without a message after which another entry is left out of the list sent to agents.
 const PEER_EXPIRY: Duration = Duration::from_secs(5);
 /// Delay before an unconfirmed append is reported to the state machine, which may repeat it.
