Check the run lease of a queued task right before its run

Cause: the lease was checked on arrival of a start and on ticks, not right before the run. It now belongs to the check that both share.

Seen to fail before: a_queued_task_whose_lease_expired_does_not_start_when_a_run_ends (1 run, 0 expected).

--- a/crates/core/src/agent/start_check.rs
+++ b/crates/core/src/agent/start_check.rs
@@ -32,9 +32,6 @@
         if now.elapsed >= request.permit_until || request.permit_until > latest_permit_end {
             return Some(NotStartedReason::PermitLapsed);
         }
-        if self.is_unleased(request.task, now) {
-            return Some(NotStartedReason::PermitLapsed);
-        }
         let is_full = self.used_capacity.slots + self.queued_slots + request.demand.slots
             > self.admission_slots()
             || self.outcomes.is_full();
@@ -71,7 +68,8 @@
         }
         let is_permitted = now.elapsed < request.permit_until
             || (is_directive_current && now.elapsed < self.directive.valid_until);
-        (!is_permitted).then_some(NotStartedReason::PermitLapsed)
+        let is_allowed = is_permitted && !self.is_unleased(request.task, now);
+        (!is_allowed).then_some(NotStartedReason::PermitLapsed)
     }
 
     /// Refuses a start and, unless the outcome store is full, every later copy of it.
--- a/crates/core/tests/agent.rs
+++ b/crates/core/tests/agent.rs
@@ -254,6 +254,23 @@
     assert_eq!(agent.admission_slots(), all_slots.slots);
 }
 
+/// Failure: an agent that stood still reads the end of a run first and starts the next queued task,
+/// although its entry has given the task to another server.
+#[test]
+fn a_queued_task_whose_lease_expired_does_not_start_when_a_run_ends() {
+    let mut agent = leased_agent();
+    renew_lease(&mut agent, 0);
+    let first = start_request(0, 1, slots(4));
+    send_start(&mut agent, first.clone(), 10);
+    send_start(&mut agent, start_request(1, 1, one_slot()), 20);
+
+    let result = RunResult::Interrupted(InterruptCause::LeaseExpired);
+    let resumed = agent.handle(AgentEvent::Finished { task: first.task, result }, at(2_000));
+
+    assert_eq!(count_runs(&resumed), 0);
+    assert!(replies(&resumed).contains(&TaskReply::NotStarted(NotStartedReason::PermitLapsed)));
+}
+
 /// Announces the server anew with this number of slots.
 fn resize_server(agent: &mut AgentMachine, slots: u32, at_ms: u64) -> Vec<AgentAction> {
     let capacity = ResourceAmounts { slots, memory_mb: 100, accelerators: 0 };
