Limit the nesting of decoded records to 128 levels

Found with the report on odd entries: a record with one more field whose value is nested 200,000 deep overflows the stack of its decoder, and the process ends. Any writer to the topic of the entries can leave one, which each entry reads at every start.

Seen to fail before, in a debug build: deeply_nested_records_are_rejected ("has overflowed its stack", signal 6). members_are_followed_past_odd_records is new and held before as well.

--- a/crates/daemon/tests/membership.rs
+++ b/crates/daemon/tests/membership.rs
@@ -48,9 +48,16 @@
 
 impl MemberLog {
     fn add_member(&self, name: &str, address: &str) {
+        self.add_member_of(1, name, address);
+    }
+
+    fn add_member_of(&self, incarnation: u64, name: &str, address: &str) {
         let status = MemberStatus::Present(address.into());
-        let record = MemberRecord { entry: name.into(), incarnation: 1, status };
-        let bytes = encode_member(&record).expect("the record is small");
+        let record = MemberRecord { entry: name.into(), incarnation, status };
+        self.add_record(encode_member(&record).expect("the record is small"));
+    }
+
+    fn add_record(&self, bytes: Vec<u8>) {
         self.records.send_modify(|records| records.push(bytes.into()));
     }
 }
@@ -92,9 +99,17 @@
 struct StallingEntries {
     /// Number of requests for the configuration.
     fetches: watch::Sender<usize>,
+    /// Addresses that were asked for their state.
+    asked: watch::Sender<Vec<String>>,
 }
 
 impl StallingEntries {
+    async fn wait_for_question_to(&self, address: &str) {
+        let mut asked = self.asked.subscribe();
+        let is_asked = |asked: &Vec<String>| asked.iter().any(|other| other == address);
+        asked.wait_for(is_asked).await.expect("the stub outlives its readers");
+    }
+
     async fn wait_for_fetches(&self, count: usize) {
         let mut fetches = self.fetches.subscribe();
         fetches.wait_for(|fetches| *fetches >= count).await.expect("the stub outlives its readers");
@@ -113,9 +128,10 @@
 
     fn fetch_state(
         &self,
-        _address: PeerAddress,
+        address: PeerAddress,
         message: PeerStateQuery,
     ) -> BoxFuture<'_, Option<PeerStateMessage>> {
+        self.asked.send_modify(|asked| asked.push(address.to_string()));
         if message.wants_state {
             self.fetches.send_modify(|fetches| *fetches += 1);
             return std::future::pending().boxed();
@@ -151,6 +167,28 @@
 /// Time within which a fetch is repeated; a fetch that counts as in flight blocks others for 10 s.
 const REPEAT_TIME: Duration = Duration::from_secs(5);
 
+/// Failure: another writer leaves odd records among those of the members, and the entry no longer
+/// follows them or ends.
+#[tokio::test]
+async fn members_are_followed_past_odd_records() {
+    let (log, entries) = (Arc::new(MemberLog::default()), Arc::new(StallingEntries::default()));
+    let _entry = start_entry(log.clone(), entries.clone()).await;
+    entries.wait_for_fetches(1).await;
+
+    log.add_record(vec![0x91; 200_000]);
+    log.add_record(b"{".to_vec());
+    log.add_member("entry-4", "127.0.0.1:99999");
+    log.add_member("entry-5", "no address");
+    log.add_member_of(u64::MAX, "entry-1", "127.0.0.1:99999");
+    let asked = entries.asked.borrow().clone();
+    log.add_member("entry-3", "127.0.0.1:7203");
+    let followed = entries.wait_for_question_to("127.0.0.1:7203");
+    let followed = tokio::time::timeout(REPEAT_TIME, followed).await;
+
+    assert!(!asked.contains(&"127.0.0.1:7203".to_owned()));
+    assert!(followed.is_ok(), "the later member is asked for its state");
+}
+
 /// Load pattern: an entry joins while another one fetches the configuration.
 #[tokio::test]
 async fn a_fetch_stopped_by_a_change_of_members_does_not_block_the_next_one() {
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -9,6 +9,10 @@
 /// Largest record in a stream of the log, in bytes.
 pub const MAX_RECORD_BYTES: usize = 1 << 20;
 
+/// Deepest nesting of a decoded value, which bounds the stack that decoding needs; no message or record
+/// has a tenth of it.
+const MAX_DEPTH: usize = 128;
+
 /// Why encoding or decoding failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CodecError {
@@ -52,5 +56,7 @@
     if bytes.len() > limit {
         return Err(CodecError::TooLarge { limit, size: bytes.len() });
     }
-    rmp_serde::from_slice(bytes).map_err(|e| CodecError::Malformed(e.to_string()))
+    let mut decoder = rmp_serde::Deserializer::from_read_ref(bytes);
+    decoder.set_max_depth(MAX_DEPTH);
+    T::deserialize(&mut decoder).map_err(|e| CodecError::Malformed(e.to_string()))
 }
--- a/crates/wire/tests/decoders.rs
+++ b/crates/wire/tests/decoders.rs
@@ -27,7 +27,7 @@
 use proptest::test_runner::{Config, RngSeed};
 use std::time::Duration;
 
-const MAX_BYTES: usize = 1 << 16;
+const MAX_BYTES: usize = 1 << 20;
 
 fn fixed_seed_config() -> Config {
     Config { rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..Config::default() }
@@ -127,6 +127,27 @@
     }
 }
 
+/// Failure: a record of another writer is nested so deeply that its decoder overflows the stack.
+#[test]
+fn deeply_nested_records_are_rejected() {
+    const DEPTH: usize = 200_000;
+    let (array, map, key) = (0x91, 0x81, 0xa1);
+    let nested_maps: Vec<u8> = [map, key, b'x'].repeat(DEPTH);
+    // Each record as a map with one more field, whose value is nested.
+    let with_nested_field = encoded_samples().into_iter().map(|mut bytes| {
+        bytes[0] += 1;
+        bytes.extend([key, b'x']);
+        bytes.extend(vec![array; DEPTH]);
+        bytes
+    });
+
+    decode_all(&vec![array; DEPTH]);
+    decode_all(&nested_maps);
+    decode_all("[".repeat(DEPTH).as_bytes());
+    decode_all(r#"{"x":"#.repeat(DEPTH).as_bytes());
+    with_nested_field.for_each(|bytes| decode_all(&bytes));
+}
+
 #[test]
 fn other_records_are_decoded_as_unreadable_configuration_records() {
     for mut bytes in encoded_samples().into_iter().skip(2) {
