Repeat an unanswered stop at a worker over a new connection

The stop now uses a connection of its own and is sent up to three times, each with 0.3 s for the answer, so that the last one starts well within the time after which callers submit again. The path on the platform is another and does not change.

Seen to fail before: an_unanswered_stop_is_repeated_over_a_new_connection (no second request).

--- a/crates/daemon/src/interfaces.rs
+++ b/crates/daemon/src/interfaces.rs
@@ -125,7 +125,8 @@
         message: StatusQueryMessage,
     ) -> BoxFuture<'_, Result<TaskReplyMessage, ExchangeFailure>>;
 
-    /// Cancels tasks that have not started, on a best-effort basis.
+    /// Cancels tasks, on a best-effort basis: the answer to the agent's next heartbeat makes good a
+    /// cancellation that is lost.
     fn cancel(&self, address: PeerAddress, message: CancelMessage) -> BoxFuture<'_, ()>;
 }
 
--- a/crates/daemon/src/worker_client.rs
+++ b/crates/daemon/src/worker_client.rs
@@ -1,6 +1,7 @@
 //! HTTP client for the platform's worker.
 //!
-//! A task is stopped by `POST BASE/stop` with the headers `x-submission` and `x-task`.
+//! A task is stopped by `POST BASE/stop` with the headers `x-submission` and `x-task`. An unanswered
+//! request is repeated over a new connection, since the earlier one may have stalled.
 
 use crate::error::DaemonError;
 use crate::interfaces::WorkerControl;
@@ -12,7 +13,9 @@
 use std::time::Duration;
 
 /// Time limit for the worker's answer to a stop request.
-const STOP_TIMEOUT: Duration = Duration::from_secs(1);
+const STOP_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum number of requests to stop one task.
+const MAX_STOP_REQUESTS: u32 = 3;
 
 /// Sends stop requests to a worker over HTTP; without a URL, tasks are never stopped.
 #[derive(Debug)]
@@ -27,20 +30,26 @@
     /// # Errors
     /// Fails if the HTTP client cannot be built.
     pub fn new(base_url: Option<&str>) -> Result<Self, Report<DaemonError>> {
-        let client = Client::builder().timeout(STOP_TIMEOUT).no_proxy().build();
+        let builder = Client::builder().timeout(STOP_TIMEOUT).no_proxy();
+        let client = builder.pool_max_idle_per_host(0).build();
         let base_url = base_url.map(|base_url| base_url.trim_end_matches('/').to_owned());
         Ok(Self { client: client.change_context(DaemonError::Client)?, base_url })
     }
+
+    async fn send_stop(&self, base_url: &str, task: TaskId) -> Result<(), reqwest::Error> {
+        let request = self.client.post(format!("{base_url}/stop"));
+        let request = request.header("x-submission", format_id(task.submission));
+        request.header("x-task", task.index).send().await.map(|_| ())
+    }
 }
 
 impl WorkerControl for WorkerClient {
     fn stop(&self, task: TaskId) -> BoxFuture<'_, ()> {
         async move {
-            let Some(base) = &self.base_url else { return };
-            let request = self.client.post(format!("{base}/stop"));
-            let request = request.header("x-submission", format_id(task.submission));
-            if let Err(error) = request.header("x-task", task.index).send().await {
-                tracing::debug!(event = "stop_unanswered", %error);
+            let Some(base_url) = &self.base_url else { return };
+            for request in 1..=MAX_STOP_REQUESTS {
+                let Err(error) = self.send_stop(base_url, task).await else { return };
+                tracing::debug!(event = "stop_unanswered", request, %error);
             }
         }
         .boxed()
