Move heartbeats out of the control plane of an entry

What an entry does with the heartbeat of an agent, and the directive that answers it, stand in a module of their own; no behaviour changes.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -16,9 +16,8 @@
 //! happens while it waits, `dispatch` places and retries its tasks, `outcome` handles the replies
 //! of agents, `crash_limit` gives up tasks that crash their servers, and `completion` answers the
 //! job; `refusal_event` records why a job or a task was turned away. `resume` holds back starts after
-//! the process stood still. `control_plane` handles
-//! configuration, claims, other entries and heartbeats, and `gauges` counts for metrics and
-//! readiness.
+//! the process stood still. `heartbeat` handles the reports of agents, `control_plane` configuration,
+//! claims and other entries, and `gauges` counts for metrics and readiness.
 
 mod action;
 mod admission;
@@ -30,6 +29,7 @@
 mod estimate;
 mod event;
 mod gauges;
+mod heartbeat;
 mod idempotency;
 mod limits;
 mod load_shedding;
