Log what the end of a run and of a server incarnation is concluded from

- run_ended: for a run that ended without a result, and for a start that was sent and never carried out: run number, server with its start time, evidence, clock reading, end of the lease.
- server_life_over: start time and reason; server_settled: start time.
- process_resumed: by agents too.
One detector serves both daemons.
- parsleyspool_run_ends_total counts ends by evidence.

The transcripts of the run ledger show evidence and reason; nothing else in them changes.

--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -12,12 +12,14 @@
 //! * A run whose worker does not answer ends when its lease expires on the slowest clock allowed.
 //! * A server restart ends all runs of the earlier incarnation.
 
+mod ending;
 mod event;
 mod poll;
 mod protocol;
 mod session;
 mod worker_clock;
 
+pub use ending::{EndEvidence, EndRecord, IncarnationEnd};
 pub use event::{RunAction, RunEvent, RunLimits};
 pub use protocol::{
     EndNumber, EndedRow, FenceToken, PollAnswer, PollCall, PollNumber, RunEnd, RunKey, RunListing,
@@ -177,20 +179,39 @@
         matching
     }
 
-    fn finish_run(&mut self, task: TaskId, result: RunResult) {
+    fn finish_run(&mut self, task: TaskId, result: RunResult, evidence: EndEvidence, now: Moment) {
         if let Some(run) = self.runs.remove(&task) {
             self.tasks_by_run.remove(&run.key);
-            self.actions.push(RunAction::Finished { task, result });
+            self.report_end(task, result, evidence, Some(run.key.number), now);
         }
     }
 
+    fn report_end(
+        &mut self,
+        task: TaskId,
+        result: RunResult,
+        evidence: EndEvidence,
+        run: Option<RunNumber>,
+        now: Moment,
+    ) {
+        let session = self.session.as_ref();
+        let record = EndRecord {
+            evidence,
+            run,
+            incarnation: session.map(|session| session.incarnation.clone()),
+            clock: session.and_then(|session| session.clock.estimate(now.elapsed)),
+            lease_until: session.and_then(|session| session.clock.lease_until()),
+        };
+        self.actions.push(RunAction::Finished { task, result, record });
+    }
+
     fn start_run(&mut self, request: StartRequest, now: Moment) {
         let task = request.task;
         let is_ready =
             self.session.as_ref().is_some_and(|session| session.phase == SessionPhase::Ready);
         if !is_ready {
             let result = RunResult::Refused(NotStartedReason::Leaving);
-            self.actions.push(RunAction::Finished { task, result });
+            self.report_end(task, result, EndEvidence::NotSent, None, now);
             return;
         }
         let task_name = task_name(&request.job, task.index);
@@ -270,11 +291,13 @@
             StartAnswer::Started => self.mark_started(task),
             StartAnswer::Refused(refusal) => self.on_start_refused(task, refusal, now),
             StartAnswer::OtherIncarnation => {
-                self.finish_run(task, RunResult::Refused(NotStartedReason::Leaving));
+                let result = RunResult::Refused(NotStartedReason::Leaving);
+                self.finish_run(task, result, EndEvidence::OtherServer, now);
                 self.end_session(now);
             }
             StartAnswer::ConnectionRefused => {
-                self.finish_run(task, RunResult::Refused(NotStartedReason::NoConnection));
+                let result = RunResult::Refused(NotStartedReason::NoConnection);
+                self.finish_run(task, result, EndEvidence::ConnectionRefused, now);
             }
             StartAnswer::Unanswered => self.stop_unanswered_start(task),
         }
@@ -306,20 +329,17 @@
     }
 
     fn on_start_refused(&mut self, task: TaskId, refusal: StartRefusal, now: Moment) {
-        let refused = RunResult::Refused;
-        match refusal {
-            StartRefusal::NotNewer => self.start_with_higher_number(task, now),
-            StartRefusal::Fenced => {
-                self.finish_run(task, refused(NotStartedReason::Full));
-                self.replace_fence(now);
-            }
-            StartRefusal::NoCapacity | StartRefusal::LeaseExpired => {
-                self.finish_run(task, refused(NotStartedReason::Full));
+        let result = match refusal {
+            StartRefusal::NotNewer => return self.start_with_higher_number(task, now),
+            StartRefusal::Fenced | StartRefusal::NoCapacity | StartRefusal::LeaseExpired => {
+                RunResult::Refused(NotStartedReason::Full)
             }
-            StartRefusal::Unhealthy => {
-                self.finish_run(task, refused(NotStartedReason::NoConnection));
-            }
-            StartRefusal::Malformed => self.finish_run(task, RunResult::Failed),
+            StartRefusal::Unhealthy => RunResult::Refused(NotStartedReason::NoConnection),
+            StartRefusal::Malformed => RunResult::Failed,
+        };
+        self.finish_run(task, result, EndEvidence::StartRefused, now);
+        if refusal == StartRefusal::Fenced {
+            self.replace_fence(now);
         }
     }
 
@@ -327,7 +347,8 @@
     fn start_with_higher_number(&mut self, task: TaskId, now: Moment) {
         let Some(run) = self.runs.get_mut(&task) else { return };
         if run.is_stop_requested {
-            self.finish_run(task, RunResult::Refused(NotStartedReason::Cancelled));
+            let result = RunResult::Refused(NotStartedReason::Cancelled);
+            self.finish_run(task, result, EndEvidence::StartRefused, now);
             return;
         }
         self.tasks_by_run.remove(&run.key);
@@ -380,7 +401,7 @@
             .as_ref()
             .is_some_and(|session| session.clock.is_lease_expired(now.elapsed));
         if is_expired {
-            self.finish_expired_runs();
+            self.finish_expired_runs(now);
             self.end_closing_session(now);
         }
         self.check_responsiveness(now);
--- a/crates/core/src/run/event.rs
+++ b/crates/core/src/run/event.rs
@@ -1,5 +1,6 @@
 //! Events, actions and limits of the run ledger.
 
+use super::ending::{EndRecord, IncarnationEnd};
 use super::protocol::{
     PollAnswer, PollCall, PollNumber, RunKey, ServerIncarnation, StartAnswer, StartCall,
     StopAnswer, StopCall,
@@ -97,6 +98,8 @@
         task: TaskId,
         /// How the run ended.
         result: RunResult,
+        /// What that is concluded from.
+        record: EndRecord,
     },
     /// Only runs started by this agent are running in this incarnation.
     ServerReady(ServerIncarnation),
@@ -106,5 +109,10 @@
     Responsive,
     /// The incarnation has ended or deregistered. Each of its runs is reported separately by
     /// `Finished`, possibly later.
-    IncarnationEnded(ServerIncarnation),
+    IncarnationEnded {
+        /// Incarnation that has ended.
+        incarnation: ServerIncarnation,
+        /// How the agent learned of the end.
+        reason: IncarnationEnd,
+    },
 }
--- a/crates/core/src/run/poll.rs
+++ b/crates/core/src/run/poll.rs
@@ -2,8 +2,8 @@
 //! missing answers.
 
 use super::{
-    EndedRow, PollAnswer, PollCall, PollNumber, RunAction, RunEnd, RunLedger, RunListing, RunPhase,
-    RunningRow, SessionPhase, TrackedRun, fence_from_clock,
+    EndEvidence, EndedRow, IncarnationEnd, PollAnswer, PollCall, PollNumber, RunAction, RunEnd,
+    RunLedger, RunListing, RunPhase, RunningRow, SessionPhase, TrackedRun, fence_from_clock,
 };
 use crate::agent::RunResult;
 use crate::entry::{InterruptCause, NotStartedReason};
@@ -80,23 +80,23 @@
         if let Some(started_at) =
             listing.started_at.filter(|started_at| *started_at != session.incarnation.started_at)
         {
-            self.restart_session(started_at, now);
+            self.restart_session(started_at, IncarnationEnd::Listed, now);
             return;
         }
         session.clock.update(listing.clock, now.elapsed);
         let is_complete = listing.ended.len() < MAX_LISTED_ENDS;
         for row in listing.ended {
-            self.record_end(&row);
+            self.record_end(&row, now);
         }
         self.stop_orphans(&listing.running);
         self.stop_stalled_runs(&listing.running, now);
         if is_complete {
-            self.finish_unlisted_runs(&listing.running, poll_number);
+            self.finish_unlisted_runs(&listing.running, poll_number, now);
         }
         self.advance_phase(&listing.running, listing.clock);
     }
 
-    pub(super) fn record_end(&mut self, row: &EndedRow) {
+    pub(super) fn record_end(&mut self, row: &EndedRow, now: Moment) {
         let Some(session) = &mut self.session else { return };
         if row.number <= session.last_seen {
             return;
@@ -109,7 +109,7 @@
             RunEnd::Failed => RunResult::Failed,
             RunEnd::Interrupted => RunResult::Interrupted(InterruptCause::Stopped),
         };
-        self.finish_run(task, result);
+        self.finish_run(task, result, EndEvidence::Listed, now);
     }
 
     /// Stops orphaned runs: the worker lists them, but this agent did not start them.
@@ -144,23 +144,29 @@
     /// Finishes runs whose start or stop was confirmed before the poll was sent and that the worker
     /// does not list. Either the stop arrived before the start, or they belonged to an earlier
     /// incarnation of the server.
-    pub(super) fn finish_unlisted_runs(&mut self, running: &[RunningRow], poll_number: PollNumber) {
+    pub(super) fn finish_unlisted_runs(
+        &mut self,
+        running: &[RunningRow],
+        poll_number: PollNumber,
+        now: Moment,
+    ) {
         let is_unlisted = |run: &TrackedRun| {
             let is_confirmed = run.confirmed_after.is_some_and(|earlier| earlier < poll_number);
             is_confirmed && !running.iter().any(|row| row.key == run.key)
         };
         for task in self.tasks_matching(is_unlisted) {
             let result = self.runs.get(&task).map_or(NEVER_RECEIVED, unlisted_result);
-            self.finish_run(task, result);
+            self.finish_run(task, result, EndEvidence::Unlisted, now);
         }
     }
 
     /// Finishes all runs after their lease has expired, except those that may yet start.
-    pub(super) fn finish_expired_runs(&mut self) {
+    pub(super) fn finish_expired_runs(&mut self, now: Moment) {
         let is_expired =
             |run: &TrackedRun| run.phase != RunPhase::Starting && !run.is_start_uncertain;
         for task in self.tasks_matching(is_expired) {
-            self.finish_run(task, RunResult::Interrupted(InterruptCause::LeaseExpired));
+            let result = RunResult::Interrupted(InterruptCause::LeaseExpired);
+            self.finish_run(task, result, EndEvidence::LeaseExpired, now);
         }
     }
 
--- a/crates/core/src/run/session.rs
+++ b/crates/core/src/run/session.rs
@@ -2,8 +2,8 @@
 
 use super::worker_clock::WorkerClock;
 use super::{
-    RunAction, RunLedger, RunningRow, ServerIncarnation, ServerSession, SessionPhase,
-    fence_from_clock,
+    EndEvidence, IncarnationEnd, RunAction, RunLedger, RunningRow, ServerIncarnation,
+    ServerSession, SessionPhase, fence_from_clock,
 };
 use crate::agent::RunResult;
 use crate::entry::InterruptCause;
@@ -29,7 +29,7 @@
             }
             Some(session) if session.incarnation.server == incarnation.server => {
                 if incarnation.started_at > session.incarnation.started_at {
-                    self.restart_session(incarnation.started_at, now);
+                    self.restart_session(incarnation.started_at, IncarnationEnd::Announced, now);
                 } else {
                     // Either the announcement is late, or the server restarted and its wall clock
                     // went back. The answer to a poll tells which.
@@ -61,12 +61,17 @@
 
     /// Begins a session with a server that restarted under the same id. Requests sent since the
     /// restart reached the new incarnation, so the next poll decides the outcome of each run.
-    pub(super) fn restart_session(&mut self, started_at: Duration, now: Moment) {
+    pub(super) fn restart_session(
+        &mut self,
+        started_at: Duration,
+        reason: IncarnationEnd,
+        now: Moment,
+    ) {
         let Some(session) = self.session.take() else { return };
         let incarnation =
             ServerIncarnation { server: session.incarnation.server.clone(), started_at };
         self.ended_incarnation = Some(session.incarnation.clone());
-        self.actions.push(RunAction::IncarnationEnded(session.incarnation));
+        self.actions.push(RunAction::IncarnationEnded { incarnation: session.incarnation, reason });
         for run in self.runs.values_mut() {
             run.ended_by_restart.get_or_insert(end_cause(session.phase));
         }
@@ -78,22 +83,29 @@
         let Some(session) = &mut self.session else { return };
         if session.incarnation == *incarnation && session.phase != SessionPhase::Closing {
             session.phase = SessionPhase::Closing;
-            self.actions.push(RunAction::IncarnationEnded(incarnation.clone()));
+            self.actions.push(RunAction::IncarnationEnded {
+                incarnation: incarnation.clone(),
+                reason: IncarnationEnd::Deregistered,
+            });
         }
     }
 
     /// Ends the session and finishes all of its runs as interrupted.
     pub(super) fn end_session(&mut self, now: Moment) {
-        let Some(session) = self.session.take() else { return };
-        self.ended_incarnation = Some(session.incarnation.clone());
-        let cause = end_cause(session.phase);
-        if session.phase != SessionPhase::Closing {
-            self.actions.push(RunAction::IncarnationEnded(session.incarnation));
+        let Some(session) = &self.session else { return };
+        let (incarnation, phase) = (session.incarnation.clone(), session.phase);
+        if phase != SessionPhase::Closing {
+            let reason = IncarnationEnd::OtherServer;
+            self.actions
+                .push(RunAction::IncarnationEnded { incarnation: incarnation.clone(), reason });
         }
-        self.latest_numbers.clear();
         for task in self.tasks_matching(|_| true) {
-            self.finish_run(task, RunResult::Interrupted(cause));
+            let result = RunResult::Interrupted(end_cause(phase));
+            self.finish_run(task, result, EndEvidence::OtherServer, now);
         }
+        self.latest_numbers.clear();
+        self.ended_incarnation = Some(incarnation);
+        self.session = None;
         if let Some(incarnation) = self.next_incarnation.take() {
             self.begin_session(incarnation, now);
         }
--- a/crates/core/src/run/worker_clock.rs
+++ b/crates/core/src/run/worker_clock.rs
@@ -31,6 +31,16 @@
         }
     }
 
+    /// Estimated reading at `now`; `None` before the first reading.
+    pub(super) fn estimate(&self, now: Duration) -> Option<Duration> {
+        (!self.reading.is_zero()).then(|| self.reading + now.saturating_sub(self.read_at))
+    }
+
+    /// End of the lease on the worker's clock; `None` before the first grant.
+    pub(super) fn lease_until(&self) -> Option<Duration> {
+        (!self.lease_until.is_zero()).then_some(self.lease_until)
+    }
+
     /// Extends the lease to `length` from `now` and returns its end; never shortens it.
     pub(super) fn extend_lease(&mut self, length: Duration, now: Duration) -> Duration {
         let until = self.reading + now.saturating_sub(self.read_at) + length;
--- a/crates/core/tests/runs/harness.rs
+++ b/crates/core/tests/runs/harness.rs
@@ -106,11 +106,15 @@
                     call.wait.as_millis()
                 )
             }
-            RunAction::Finished { task, result } => format!("finished {} {result:?}", task.index),
+            RunAction::Finished { task, result, record } => {
+                format!("finished {} {result:?} evidence={}", task.index, record.evidence.name())
+            }
             RunAction::ServerReady(incarnation) => format!("ready {}", incarnation.server),
             RunAction::Unresponsive => "unresponsive".to_owned(),
             RunAction::Responsive => "responsive".to_owned(),
-            RunAction::IncarnationEnded(incarnation) => format!("ended {}", incarnation.server),
+            RunAction::IncarnationEnded { incarnation, reason } => {
+                format!("ended {} reason={}", incarnation.server, reason.name())
+            }
         };
         let _ = writeln!(self.transcript, "  {line}");
     }
--- a/crates/core/tests/runs/schedules.rs
+++ b/crates/core/tests/runs/schedules.rs
@@ -237,7 +237,7 @@
                 RunAction::Start(call) => self.calls.push(WorkerCall::Start(call)),
                 RunAction::Stop(call) => self.calls.push(WorkerCall::Stop(call)),
                 RunAction::Poll(call) => self.calls.push(WorkerCall::Poll(call)),
-                RunAction::Finished { task, result } => {
+                RunAction::Finished { task, result, .. } => {
                     let is_first = self.open_tasks.remove(&task);
                     assert!(is_first, "seed {}: {} ends twice", self.seed, task.index);
                     self.results.insert(task, result);
--- a/crates/daemon/src/agent/actor.rs
+++ b/crates/daemon/src/agent/actor.rs
@@ -3,6 +3,7 @@
 use super::AgentShared;
 use super::leased_runs::{HandleRunEvent, LeasedRuns};
 use crate::interfaces::TaskRunner;
+use crate::stall_detector::StallDetector;
 use parsleyspool_core::agent::{AgentAction, AgentEvent, AgentMachine};
 use parsleyspool_core::directory::ServerReport;
 use parsleyspool_core::entry::{AgentDirective, LoadReport, StartRequest, TaskReply};
@@ -33,6 +34,7 @@
     waiters: HashMap<TaskId, Vec<ReplySender>>,
     /// Number of the latest heartbeat report, counted over all entries.
     sequence: u64,
+    stall_detector: StallDetector,
 }
 
 impl AgentActor {
@@ -45,7 +47,8 @@
                 announcement: None,
             }),
         };
-        Self { machine, shared, leased_runs, waiters: HashMap::new(), sequence: 0 }
+        let stall_detector = StallDetector::new(shared.interfaces.clock.now().elapsed);
+        Self { machine, shared, leased_runs, waiters: HashMap::new(), sequence: 0, stall_detector }
     }
 
     /// Passes an event to the state machine and executes the resulting actions.
@@ -58,6 +61,7 @@
         address: &WeakAddress<Self>,
     ) {
         let now = self.shared.interfaces.clock.now();
+        self.stall_detector.record_event(now.elapsed);
         for action in self.machine.handle(event, now) {
             match action {
                 AgentAction::Run(request) => self.run_task(request, address),
--- a/crates/daemon/src/agent/leased_runs.rs
+++ b/crates/daemon/src/agent/leased_runs.rs
@@ -5,11 +5,11 @@
 
 use super::actor::AgentActor;
 use crate::interfaces::RunExecutor;
-use parsleyspool_core::agent::{AgentEvent, ServerAvailability};
-use parsleyspool_core::id::{DomainName, ServerName, ServiceName, WorkerName};
+use parsleyspool_core::agent::{AgentEvent, RunResult, ServerAvailability};
+use parsleyspool_core::id::{DomainName, ServerName, ServiceName, TaskId, WorkerName, format_id};
 use parsleyspool_core::run::{
-    PollAnswer, PollCall, RunAction, RunEvent, RunLedger, ServerIncarnation, StartCall, StopAnswer,
-    StopCall,
+    EndEvidence, EndRecord, IncarnationEnd, PollAnswer, PollCall, RunAction, RunEvent, RunLedger,
+    ServerIncarnation, StartCall, StopAnswer, StopCall,
 };
 use std::future::Future;
 use std::sync::Arc;
@@ -69,14 +69,21 @@
             RunAction::Start(call) => send_start(executor, call, address.clone()),
             RunAction::Stop(call) => send_stop(executor, call, address.clone()),
             RunAction::Poll(call) => send_poll(executor, call, address.clone()),
-            RunAction::Finished { task, result } => {
+            RunAction::Finished { task, result, record } => {
+                self.log_run_end(task, &result, &record);
                 self.handle_event(AgentEvent::Finished { task, result }, None, address);
             }
             RunAction::ServerReady(incarnation) => {
-                tracing::info!(event = "server_settled", server = %incarnation.server);
+                tracing::info!(
+                    event = "server_settled",
+                    server = %incarnation.server,
+                    started_at_ms = incarnation.started_at.as_millis()
+                );
                 self.advertise_if_ready(&incarnation, address);
             }
-            RunAction::IncarnationEnded(incarnation) => self.withdraw_server(&incarnation, address),
+            RunAction::IncarnationEnded { incarnation, reason } => {
+                self.withdraw_server(&incarnation, reason, address);
+            }
             RunAction::Unresponsive => self.report_state(AgentEvent::ServerUnresponsive, address),
             RunAction::Responsive => self.report_state(AgentEvent::ServerResponsive, address),
         }
@@ -113,9 +120,45 @@
         }
     }
 
+    /// Logs why a run has ended without a result, or why a start that was sent counts as never
+    /// carried out. Other ends are logged by the state machine of the agent.
+    fn log_run_end(&self, task: TaskId, result: &RunResult, record: &EndRecord) {
+        self.shared.metrics.count_run_end(record.evidence);
+        let is_explained = match result {
+            RunResult::Interrupted(_) => true,
+            RunResult::Refused(_) => record.evidence == EndEvidence::Unlisted,
+            RunResult::Answered(_) | RunResult::Failed | RunResult::NoConnection => false,
+        };
+        if !is_explained || !self.shared.recorder.try_acquire_line() {
+            return;
+        }
+        let incarnation = record.incarnation.as_ref();
+        tracing::info!(
+            event = "run_ended",
+            submission = format_id(task.submission),
+            task = task.index,
+            run = record.run,
+            evidence = record.evidence.name(),
+            server = incarnation.map(|incarnation| &*incarnation.server),
+            started_at_ms = incarnation.map(|incarnation| incarnation.started_at.as_millis()),
+            clock_ms = record.clock.map(|reading| reading.as_millis()),
+            lease_until_ms = record.lease_until.map(|until| until.as_millis())
+        );
+    }
+
     /// Stops advertising the server, whose incarnation has ended.
-    fn withdraw_server(&mut self, incarnation: &ServerIncarnation, address: &WeakAddress<Self>) {
-        tracing::warn!(event = "server_life_over", server = %incarnation.server);
+    fn withdraw_server(
+        &mut self,
+        incarnation: &ServerIncarnation,
+        reason: IncarnationEnd,
+        address: &WeakAddress<Self>,
+    ) {
+        tracing::warn!(
+            event = "server_life_over",
+            server = %incarnation.server,
+            started_at_ms = incarnation.started_at.as_millis(),
+            reason = reason.name()
+        );
         if let Some(runs) = &mut self.leased_runs
             && runs
                 .announcement
--- a/crates/daemon/src/entry/actor.rs
+++ b/crates/daemon/src/entry/actor.rs
@@ -1,6 +1,7 @@
 //! Actor that owns the state machine of an entry and executes its actions.
 
 use super::EntryShared;
+use crate::stall_detector::StallDetector;
 use bytes::Bytes;
 use parsleyspool_core::config::{ConfigRecord, ConfigSnapshot};
 use parsleyspool_core::directory::ServerReport;
@@ -50,8 +51,7 @@
     pub(super) shared: Arc<EntryShared>,
     /// Answer channels of the waiting callers, by waiter ID.
     waiters: HashMap<u64, oneshot::Sender<CallerAnswer>>,
-    /// When the latest event was handled.
-    last_event_at: Duration,
+    stall_detector: StallDetector,
     pub(super) known_peers: BTreeMap<String, KnownPeer>,
 }
 
@@ -67,7 +67,7 @@
     pub(crate) fn new(components: ActorComponents) -> Self {
         Self {
             machine: components.machine,
-            last_event_at: components.shared.interfaces.clock.now().elapsed,
+            stall_detector: StallDetector::new(components.shared.interfaces.clock.now().elapsed),
             shared: components.shared,
             waiters: HashMap::new(),
             known_peers: BTreeMap::new(),
@@ -78,10 +78,7 @@
     /// resumption if the process stood still.
     fn handle_event(&mut self, event: EntryEvent, address: &WeakAddress<Self>) {
         let now = self.shared.interfaces.clock.now();
-        let silence = now.elapsed.saturating_sub(self.last_event_at);
-        self.last_event_at = now.elapsed;
-        if silence > MAX_EVENT_GAP {
-            tracing::warn!(event = "process_resumed", stood_still_ms = silence.as_millis());
+        if self.stall_detector.record_event(now.elapsed).is_some() {
             let actions = self.machine.handle(EntryEvent::Resumed, now);
             self.execute_actions(actions, address);
         }
@@ -230,9 +227,6 @@
     }
 }
 
-/// Longest time between two events of a process that runs, far above the tick interval. A caller that
-/// gives up and submits its job elsewhere takes longer.
-const MAX_EVENT_GAP: Duration = Duration::from_secs(1);
 /// Time without a message after which another entry is left out of the list sent to agents.
 const PEER_EXPIRY: Duration = Duration::from_secs(5);
 /// Delay before an unconfirmed append is reported to the state machine, which may repeat it.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod process_http;
 pub mod recorder;
 pub mod settings;
+mod stall_detector;
 pub mod telemetry;
 pub mod worker_client;
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -7,6 +7,7 @@
 use crate::error::DaemonError;
 use error_stack::{Report, ResultExt};
 use parsleyspool_core::entry::EntryGauges;
+use parsleyspool_core::run::EndEvidence;
 use parsleyspool_core::timeline::EventKind;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
@@ -31,7 +32,7 @@
 }
 
 /// All metrics of the daemons, in the order in which a process registers them.
-pub const METRIC_TABLE: [MetricRow; 6] = [
+pub const METRIC_TABLE: [MetricRow; 7] = [
     MetricRow {
         name: "parsleyspool_events_total",
         kind: "counter",
@@ -64,6 +65,14 @@
         label_values: "message kinds",
         help: "Messages sent to other processes and to the log",
     },
+    MetricRow {
+        name: "parsleyspool_run_ends_total",
+        kind: "counter",
+        unit: "runs",
+        label: "evidence",
+        label_values: "kinds of evidence",
+        help: "Runs under leases that ended or never started, by what that is concluded from",
+    },
     MetricRow {
         name: "parsleyspool_gauge",
         kind: "gauge",
@@ -127,6 +136,7 @@
     answers: IntCounterVec,
     team_answers: IntCounterVec,
     messages: IntCounterVec,
+    run_ends: IntCounterVec,
     gauges: IntGaugeVec,
     job_seconds: Histogram,
 }
@@ -142,7 +152,8 @@
 
     fn register() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let [events, answers, team_answers, messages, gauges, job_seconds] = &METRIC_TABLE;
+        let [events, answers, team_answers, messages, run_ends, gauges, job_seconds] =
+            &METRIC_TABLE;
         let counter = |row: &MetricRow| {
             let vec = IntCounterVec::new(Opts::new(row.name, row.help), &[row.label])?;
             registry.register(Box::new(vec.clone()))?;
@@ -150,12 +161,22 @@
         };
         let (events, answers) = (counter(events)?, counter(answers)?);
         let (team_answers, messages) = (counter(team_answers)?, counter(messages)?);
+        let run_ends = counter(run_ends)?;
         let gauges = IntGaugeVec::new(Opts::new(gauges.name, gauges.help), &[gauges.label])?;
         registry.register(Box::new(gauges.clone()))?;
         let opts = HistogramOpts::new(job_seconds.name, job_seconds.help);
         let job_seconds = Histogram::with_opts(opts.buckets(JOB_TIME_BUCKETS.to_vec()))?;
         registry.register(Box::new(job_seconds.clone()))?;
-        Ok(Self { registry, events, answers, team_answers, messages, gauges, job_seconds })
+        Ok(Self {
+            registry,
+            events,
+            answers,
+            team_answers,
+            messages,
+            run_ends,
+            gauges,
+            job_seconds,
+        })
     }
 
     /// Counts an event of the timeline.
@@ -175,6 +196,11 @@
         self.messages.with_label_values(&[kind.name()]).inc();
     }
 
+    /// Counts a run that ended or never started.
+    pub fn count_run_end(&self, evidence: EndEvidence) {
+        self.run_ends.with_label_values(&[evidence.name()]).inc();
+    }
+
     /// Records the response time of a job, from its arrival to its complete answer.
     pub fn observe_response_time(&self, response_time: Duration) {
         self.job_seconds.observe(response_time.as_secs_f64());
