Reproduce runs that are reported as ended and go on after a restart

- a_run_in_progress_at_a_restarted_server_is_not_reported_as_interrupted: start, announcement of the next incarnation, start answered, listing with the run, tick.
The ledger reports Interrupted(LeaseExpired), evidence=lease_expired, and the next listing still has the run.
- Random schedules: the clock of a restarted server starts at zero and may run 2% slow, its start time may go back, it holds a lease for 1 s at most, servers with a new id have been up for a while, and a call that the network holds may outlive a crash.

The schedules in which clocks go on over a restart stay as they were and pass.

--- a/crates/core/tests/runs/main.rs
+++ b/crates/core/tests/runs/main.rs
@@ -3,6 +3,7 @@
 
 mod harness;
 mod schedules;
+mod server_factory;
 mod worker_model;
 
 use harness::{RunHarness, incarnation, run_key};
@@ -245,3 +246,22 @@
 
     insta::assert_snapshot!(harness.transcript());
 }
+
+/// Failure: the lease of the new incarnation is not known yet, and counts as expired.
+#[test]
+#[ignore = "KNOWN-RED: restarted_server"]
+fn a_run_in_progress_at_a_restarted_server_is_not_reported_as_interrupted() {
+    let mut harness = RunHarness::ready();
+    harness.run(0);
+    harness.announce(incarnation("s", 2));
+    harness.answer_start(run_key(0, 1), StartAnswer::Started);
+
+    harness.discard_polls_before_latest();
+    harness.answer_listing_as(Some(2), &[run_key(0, 1)], &[]);
+    harness.advance_ms(20);
+    harness.answer_listing_as(Some(2), &[], &[(1, run_key(0, 1), RunEnd::Done)]);
+
+    let transcript = harness.transcript();
+    assert!(!transcript.contains("Interrupted"), "{transcript}");
+    assert!(transcript.contains("finished 0 Answered"), "{transcript}");
+}
--- a/crates/core/tests/runs/schedules.rs
+++ b/crates/core/tests/runs/schedules.rs
@@ -2,10 +2,12 @@
 //! between a run ledger and a model of its worker.
 //!
 //! In every schedule each task ends once, a task that is reported as not run has not run and never
-//! will, and a server that stays up becomes ready. `PARSLEYSPOOL_SCHEDULES` sets the number of
-//! schedules.
+//! will, and a server that stays up becomes ready. If the clocks of restarted servers start anew, no
+//! run goes on, or begins, after its end was reported, either. `PARSLEYSPOOL_SCHEDULES` sets the
+//! number of schedules.
 
-use super::harness::{incarnation, start_request};
+use super::harness::start_request;
+use super::server_factory::{ServerClocks, ServerFactory};
 use super::worker_model::WorkerModel;
 use parsleyspool_core::agent::RunResult;
 use parsleyspool_core::id::{TaskId, TaskName, task_name};
@@ -19,13 +21,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Reading of the worker's clock when the agent's clock reads zero.
-const WORKER_CLOCK_AT_ZERO: Duration = Duration::from_secs(500);
 const STEPS: u32 = 400;
 const DEFAULT_SCHEDULES: u64 = 3_000;
 /// Rounds of 20 ms in which a server that stays up has to become ready and finish its runs.
 const SETTLING_ROUNDS: u32 = 400;
 
+/// What the end of a run is concluded from if the agent that started it was replaced.
+const AGENT_REPLACED: &str = "agent_replaced";
+
 #[derive(Debug, Clone)]
 enum WorkerCall {
     Start(StartCall),
@@ -40,10 +43,7 @@
     now: Duration,
     ledger: RunLedger,
     worker: Option<WorkerModel>,
-    /// Servers with an id of their own so far.
-    servers: u64,
-    /// Starts of a server so far.
-    starts: u64,
+    servers: ServerFactory,
     /// Calls that the worker has not received.
     calls: Vec<WorkerCall>,
     /// Calls that count as unanswered and may still be received.
@@ -54,18 +54,24 @@
     open_tasks: BTreeSet<TaskId>,
     results: BTreeMap<TaskId, RunResult>,
     started_tasks: BTreeSet<TaskName>,
+    /// Tasks whose run has ended, or will never start, as far as their entry knows, and what that
+    /// is concluded from.
+    ended_tasks: BTreeMap<TaskName, &'static str>,
+    /// Tasks of earlier agents, which end when the present one is ready.
+    orphaned_tasks: BTreeSet<TaskName>,
+    /// Tasks that ran when they were reported as ended, or later, and what that was concluded from.
+    false_ends: BTreeMap<TaskName, &'static str>,
 }
 
 impl RunSchedule {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, clocks: ServerClocks) -> Self {
         let mut schedule = Self {
             seed,
             random: ChaCha8Rng::seed_from_u64(seed),
             now: Duration::from_secs(10),
             ledger: RunLedger::new(RunLimits::default()),
             worker: None,
-            servers: 0,
-            starts: 0,
+            servers: ServerFactory::new(clocks),
             calls: Vec::new(),
             late_calls: Vec::new(),
             answers: Vec::new(),
@@ -73,15 +79,14 @@
             open_tasks: BTreeSet::new(),
             results: BTreeMap::new(),
             started_tasks: BTreeSet::new(),
+            ended_tasks: BTreeMap::new(),
+            orphaned_tasks: BTreeSet::new(),
+            false_ends: BTreeMap::new(),
         };
         schedule.start_server();
         schedule
     }
 
-    fn clock(&self) -> Duration {
-        WORKER_CLOCK_AT_ZERO + self.now
-    }
-
     fn step(&mut self) {
         match self.random.random_range(0..100) {
             0..28 => self.deliver_call(),
@@ -132,13 +137,13 @@
 
     /// The worker receives a call; returns the event with its answer.
     fn execute(&mut self, call: &WorkerCall) -> RunEvent {
-        let clock = self.clock();
+        let now = self.now;
         let Some(worker) = &mut self.worker else { return refused(call) };
         match call {
             WorkerCall::Start(start) => {
-                let answer = worker.start(start, clock);
+                let answer = worker.start(start, now);
                 if answer == StartAnswer::Started {
-                    self.started_tasks.insert(start.key.task_name.clone());
+                    self.record_start(&start.key.task_name);
                 }
                 RunEvent::StartReturned { key: start.key.clone(), answer }
             }
@@ -146,11 +151,26 @@
                 RunEvent::StopReturned { key: stop.key.clone(), answer: worker.stop(stop) }
             }
             WorkerCall::Poll(poll) => {
-                RunEvent::PollReturned { number: poll.number, answer: worker.poll(poll, clock) }
+                RunEvent::PollReturned { number: poll.number, answer: worker.poll(poll, now) }
             }
         }
     }
 
+    fn record_start(&mut self, task_name: &TaskName) {
+        self.started_tasks.insert(task_name.clone());
+        if let Some(evidence) = self.ended_tasks.get(task_name) {
+            self.false_ends.insert(task_name.clone(), evidence);
+        }
+    }
+
+    /// Records that the entry of a task may start it elsewhere from now on.
+    fn record_end(&mut self, task_name: TaskName, evidence: &'static str) {
+        if self.worker.as_ref().is_some_and(|worker| worker.is_running(&task_name)) {
+            self.false_ends.insert(task_name.clone(), evidence);
+        }
+        self.ended_tasks.insert(task_name, evidence);
+    }
+
     fn deliver_answer(&mut self) {
         let Some(index) = self.pick(self.answers.len()) else { return };
         let answer = self.answers.remove(index);
@@ -179,10 +199,15 @@
         }
     }
 
-    /// Calls that were sent without an answer are lost with their connections.
+    /// Calls that were sent without an answer are lost with their connections, unless the network
+    /// still holds them.
     fn crash_server(&mut self) {
         self.worker = None;
-        self.late_calls.clear();
+        let is_restarted = self.servers.clocks() == ServerClocks::Restarted;
+        let is_held = is_restarted && self.random.random_bool(0.5);
+        if !is_held {
+            self.late_calls.clear();
+        }
     }
 
     fn remove_server(&mut self) {
@@ -197,11 +222,7 @@
         if self.worker.is_some() {
             return;
         }
-        let is_new = self.starts == 0 || self.random.random_bool(0.7);
-        self.servers += u64::from(is_new);
-        self.starts += 1;
-        let name = format!("s-{}", self.servers);
-        self.worker = Some(WorkerModel::new(incarnation(&name, self.starts)));
+        self.worker = Some(self.servers.start(&mut self.random, self.now));
         self.announce();
     }
 
@@ -209,7 +230,8 @@
     fn restart_agent(&mut self) {
         self.late_calls.append(&mut self.calls);
         self.answers.clear();
-        self.open_tasks.clear();
+        let lost = std::mem::take(&mut self.open_tasks);
+        self.orphaned_tasks.extend(lost.into_iter().map(name_of));
         self.ledger = RunLedger::new(RunLimits::default());
         self.advance(Duration::from_millis(20));
     }
@@ -217,15 +239,14 @@
     fn announce(&mut self) {
         let Some(worker) = &self.worker else { return };
         let incarnation = worker.incarnation.clone();
-        let clock = Some(self.clock());
+        let clock = Some(worker.clock.read(self.now));
         self.handle(RunEvent::Announced { incarnation, clock });
     }
 
     fn advance(&mut self, time: Duration) {
         self.now += time;
-        let clock = self.clock();
         if let Some(worker) = &mut self.worker {
-            worker.expire(clock);
+            worker.expire(self.now);
         }
         self.handle(RunEvent::Tick);
     }
@@ -237,11 +258,19 @@
                 RunAction::Start(call) => self.calls.push(WorkerCall::Start(call)),
                 RunAction::Stop(call) => self.calls.push(WorkerCall::Stop(call)),
                 RunAction::Poll(call) => self.calls.push(WorkerCall::Poll(call)),
-                RunAction::Finished { task, result, .. } => {
+                RunAction::Finished { task, result, record } => {
                     let is_first = self.open_tasks.remove(&task);
                     assert!(is_first, "seed {}: {} ends twice", self.seed, task.index);
+                    if !matches!(result, RunResult::Answered(_) | RunResult::Failed) {
+                        self.record_end(name_of(task), record.evidence.name());
+                    }
                     self.results.insert(task, result);
                 }
+                RunAction::ServerReady(_) => {
+                    for task_name in std::mem::take(&mut self.orphaned_tasks) {
+                        self.record_end(task_name, AGENT_REPLACED);
+                    }
+                }
                 _ => {}
             }
         }
@@ -274,13 +303,17 @@
         assert!(worker.running().is_empty(), "seed {seed}: runs without end");
         assert!(self.open_tasks.is_empty(), "seed {seed}: tasks without end {:?}", self.open_tasks);
         for (task, result) in &self.results {
-            let has_run = self.started_tasks.contains(&task_name(&"j".into(), task.index));
+            let has_run = self.started_tasks.contains(&name_of(*task));
             let is_refused = matches!(result, RunResult::Refused(_));
             assert!(!(is_refused && has_run), "seed {seed}: {} ran and {result:?}", task.index);
         }
     }
 }
 
+fn name_of(task: TaskId) -> TaskName {
+    task_name(&"j".into(), task.index)
+}
+
 fn unanswered(call: &WorkerCall) -> RunEvent {
     match call {
         WorkerCall::Start(start) => {
@@ -306,18 +339,46 @@
     }
 }
 
-#[test]
-fn servers_become_ready_and_tasks_end_once_in_random_schedules() {
+/// Plays the schedules of all seeds and returns them.
+fn play_schedules(clocks: ServerClocks) -> impl Iterator<Item = RunSchedule> {
     let schedules = std::env::var("PARSLEYSPOOL_SCHEDULES").ok();
     let schedules = schedules.and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_SCHEDULES);
-
-    for seed in 0..schedules {
-        let mut schedule = RunSchedule::new(seed);
+    (0..schedules).map(move |seed| {
+        let mut schedule = RunSchedule::new(seed, clocks);
         for _ in 0..STEPS {
             schedule.step();
         }
-
         schedule.settle();
+        schedule
+    })
+}
+
+#[test]
+fn servers_become_ready_and_tasks_end_once_in_random_schedules() {
+    for schedule in play_schedules(ServerClocks::Continuous) {
+        schedule.check();
+    }
+}
+
+#[test]
+#[ignore = "KNOWN-RED: restarted_server_fence"]
+fn servers_whose_clocks_start_anew_become_ready_and_tasks_end_once_in_random_schedules() {
+    for schedule in play_schedules(ServerClocks::Restarted) {
         schedule.check();
     }
 }
+
+#[test]
+#[ignore = "KNOWN-RED: restarted_server"]
+fn no_run_goes_on_or_begins_after_its_end_was_reported_in_random_schedules() {
+    let schedules = play_schedules(ServerClocks::Restarted);
+
+    let broken = schedules.filter(|schedule| !schedule.false_ends.is_empty());
+    let broken: Vec<_> = broken.map(|schedule| (schedule.seed, schedule.false_ends)).collect();
+
+    let evidence = broken.iter().flat_map(|(_, false_ends)| false_ends.values());
+    let mut counts: BTreeMap<&str, u64> = BTreeMap::new();
+    evidence.for_each(|evidence| *counts.entry(evidence).or_default() += 1);
+    let (count, first) = (broken.len(), broken.first());
+    assert!(broken.is_empty(), "{count} schedules, first {first:?}, by evidence {counts:?}");
+}
--- a/crates/core/tests/runs/worker_model.rs
+++ b/crates/core/tests/runs/worker_model.rs
@@ -8,10 +8,30 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
+/// Longest time that a worker holds a lease, whatever end a call names.
+const LONGEST_HOLD: Duration = Duration::from_secs(1);
+
+/// Steady clock of a worker.
+#[derive(Debug, Clone, Copy)]
+pub struct ModelClock {
+    /// Time at which the clock read `first_reading`.
+    pub origin: Duration,
+    pub first_reading: Duration,
+    /// Rate, in percent of the true one.
+    pub rate_percent: u32,
+}
+
+impl ModelClock {
+    pub fn read(&self, now: Duration) -> Duration {
+        self.first_reading + now.saturating_sub(self.origin) * self.rate_percent / 100
+    }
+}
+
 /// One incarnation of a server with its worker.
 #[derive(Debug)]
 pub struct WorkerModel {
     pub incarnation: ServerIncarnation,
+    pub clock: ModelClock,
     fence: FenceToken,
     lease_until: Duration,
     running: BTreeSet<RunKey>,
@@ -21,9 +41,10 @@
 }
 
 impl WorkerModel {
-    pub fn new(incarnation: ServerIncarnation) -> Self {
+    pub fn new(incarnation: ServerIncarnation, clock: ModelClock) -> Self {
         Self {
             incarnation,
+            clock,
             fence: 0,
             lease_until: Duration::ZERO,
             running: BTreeSet::new(),
@@ -37,7 +58,17 @@
         self.running.iter().cloned().collect()
     }
 
-    pub fn start(&mut self, call: &StartCall, clock: Duration) -> StartAnswer {
+    /// Whether a run of the task is in progress.
+    pub fn is_running(&self, task_name: &TaskName) -> bool {
+        self.running.iter().any(|key| key.task_name == *task_name)
+    }
+
+    fn extend_lease(&mut self, until: Duration, clock: Duration) {
+        self.lease_until = self.lease_until.max(until.min(clock + LONGEST_HOLD));
+    }
+
+    pub fn start(&mut self, call: &StartCall, now: Duration) -> StartAnswer {
+        let clock = self.clock.read(now);
         if call.incarnation.server != self.incarnation.server {
             return StartAnswer::OtherIncarnation;
         }
@@ -45,7 +76,7 @@
             return StartAnswer::Refused(StartRefusal::Fenced);
         }
         self.fence = call.fence;
-        self.lease_until = self.lease_until.max(call.lease_until);
+        self.extend_lease(call.lease_until, clock);
         if self.lease_until < clock {
             return StartAnswer::Refused(StartRefusal::LeaseExpired);
         }
@@ -77,7 +108,8 @@
         StopAnswer::Confirmed
     }
 
-    pub fn poll(&mut self, call: &PollCall, clock: Duration) -> PollAnswer {
+    pub fn poll(&mut self, call: &PollCall, now: Duration) -> PollAnswer {
+        let clock = self.clock.read(now);
         if call.incarnation.server != self.incarnation.server {
             return PollAnswer::OtherIncarnation;
         }
@@ -85,7 +117,9 @@
             return PollAnswer::Fenced { clock };
         }
         self.fence = call.fence.unwrap_or(self.fence);
-        self.lease_until = self.lease_until.max(call.lease_until.unwrap_or_default());
+        if let Some(until) = call.lease_until {
+            self.extend_lease(until, clock);
+        }
         self.ended.retain(|row| row.number > call.last_seen);
         let running = self.running.iter().map(|key| RunningRow { key: key.clone(), percent: 50 });
         PollAnswer::Listing(RunListing {
@@ -105,8 +139,8 @@
     }
 
     /// Ends all runs if their lease has expired.
-    pub fn expire(&mut self, clock: Duration) {
-        if self.lease_until < clock {
+    pub fn expire(&mut self, now: Duration) {
+        if self.lease_until < self.clock.read(now) {
             for key in self.running() {
                 self.end(&key, RunEnd::Interrupted);
             }
