Conclude from a list that a run is over only once the fencing token is accepted

Callers would see a task run twice: the former incarnation confirmed the stop of a start that was not answered, the server restarted under its id, and the first list, in answer to a poll without a token, did not have the run. It was reported as interrupted while its start could still begin at the new incarnation, which knows neither the stop nor a token.

a_run_is_not_reported_as_ended_while_a_restarted_server_accepts_earlier_calls failed on the parent with "finished 0 Interrupted(ServerLost) evidence=unlisted" after the first list. A list counts now only if its poll carried the current token: from then on the worker does nothing for earlier calls. Two transcripts get one more list each.

--- a/crates/core/src/run/poll.rs
+++ b/crates/core/src/run/poll.rs
@@ -93,7 +93,7 @@
         }
         self.stop_orphans(&listing.running);
         self.stop_stalled_runs(&listing.running, now);
-        if is_complete {
+        if is_complete && self.is_token_accepted(poll) {
             self.finish_unlisted_runs(&listing.running, poll.number, now);
         }
         self.advance_phase(&listing.running, listing.clock, poll.fence, now);
@@ -144,6 +144,13 @@
         }
     }
 
+    /// Whether the worker has accepted the current fencing token, so that it starts nothing for calls
+    /// from before a restart.
+    fn is_token_accepted(&self, poll: PollOrigin) -> bool {
+        let current = self.session.as_ref().and_then(|session| session.fence);
+        current.is_some() && poll.fence == current
+    }
+
     /// Finishes runs whose start or stop was confirmed before the poll was sent and that the worker
     /// does not list. Either the stop arrived before the start, or they belonged to an earlier
     /// incarnation of the server.
--- a/crates/core/tests/runs/main.rs
+++ b/crates/core/tests/runs/main.rs
@@ -92,8 +92,9 @@
     harness.answer_listing_as(Some(2), &[], &[]);
     harness.answer_start(run_key(1, 1), StartAnswer::Started);
     harness.advance_ms(10);
-    harness.answer_listing_as(Some(2), &[run_key(1, 1)], &[]);
-    harness.answer_listing_as(Some(2), &[run_key(1, 1)], &[]);
+    for _ in 0..3 {
+        harness.answer_listing_as(Some(2), &[run_key(1, 1)], &[]);
+    }
 
     insta::assert_snapshot!(harness.transcript());
 }
@@ -163,8 +164,9 @@
     harness.announce(incarnation("s", 2));
     harness.answer_poll(PollAnswer::Unanswered);
     harness.answer_stop(run_key(0, 1), StopAnswer::Confirmed);
-    harness.answer_listing_as(Some(2), &[], &[]);
-    harness.answer_listing_as(Some(2), &[], &[]);
+    for _ in 0..3 {
+        harness.answer_listing_as(Some(2), &[], &[]);
+    }
 
     insta::assert_snapshot!(harness.transcript());
 }
@@ -307,3 +309,22 @@
     assert!(!before.contains("ready"), "{before}");
     assert!(harness.transcript().contains("ready s"), "{}", harness.transcript());
 }
+
+/// Failure: the former incarnation confirmed a stop, and its successor received the start.
+#[test]
+fn a_run_is_not_reported_as_ended_while_a_restarted_server_accepts_earlier_calls() {
+    let mut harness = RunHarness::ready();
+    harness.run(0);
+    harness.answer_start(run_key(0, 1), StartAnswer::Unanswered);
+    harness.answer_stop(run_key(0, 1), StopAnswer::Confirmed);
+    harness.announce(incarnation("s", 2));
+    harness.discard_polls_before_latest();
+
+    harness.answer_listing_as(Some(2), &[], &[]);
+    let before = harness.transcript().to_owned();
+    harness.answer_listing_as(Some(2), &[], &[]);
+
+    assert!(!before.contains("finished"), "{before}");
+    let ended = "finished 0 Interrupted(ServerLost) evidence=unlisted";
+    assert!(harness.transcript().contains(ended), "{}", harness.transcript());
+}
