Measure the lease of a worker without suspensions of the machine

Callers would see a task run twice: the machine of an agent and its server is suspended for seconds, and on resumption the agent, whose time counts the suspension, reports all runs as ended by an expired lease, while the steady clock of the server, on which the lease is measured, stood still, and the runs go on.

a_run_is_not_reported_as_ended_because_its_machine_was_suspended failed on the parent with "finished 0 Interrupted(LeaseExpired)" at the resumption. A moment now has the steady time, too, and the bound of the lease uses it. Leases of entries and deadlines still count suspensions.

--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -76,9 +76,9 @@
 impl ServerSession {
     /// Extends the lease at `now`; returns its new end on the worker's clock, or `None` if the clock
     /// is not known yet.
-    fn extend_lease(&mut self, limits: &RunLimits, now: Duration) -> Option<Duration> {
-        let until = self.clock.estimate(now)? + limits.lease;
-        self.lease.extend(limits.longest_hold, now);
+    fn extend_lease(&mut self, limits: &RunLimits, now: Moment) -> Option<Duration> {
+        let until = self.clock.estimate(now.elapsed)? + limits.lease;
+        self.lease.extend(limits.longest_hold, now.steady);
         Some(until)
     }
 }
@@ -220,7 +220,7 @@
             incarnation: session.map(|session| session.incarnation.clone()),
             clock: session.and_then(|session| session.clock.estimate(now.elapsed)),
             lease_end: session.and_then(|session| session.lease.latest()),
-            reported_at: now.elapsed,
+            reported_at: now.steady,
         };
         self.actions.push(RunAction::Finished { task, result, record });
     }
@@ -256,7 +256,7 @@
     fn send_start(&mut self, task: TaskId, now: Moment) {
         let Some(run) = self.runs.get(&task) else { return };
         let Some(session) = &mut self.session else { return };
-        let Some(lease_until) = session.extend_lease(&self.limits, now.elapsed) else {
+        let Some(lease_until) = session.extend_lease(&self.limits, now) else {
             let result = RunResult::Refused(NotStartedReason::Leaving);
             self.finish_run(task, result, EndEvidence::NotSent, now);
             return;
@@ -422,7 +422,7 @@
         let retention = self.limits.number_retention;
         self.latest_numbers.retain(|_, (_, at)| *at + retention > now.elapsed);
         let session = self.session.as_ref();
-        if session.is_some_and(|session| session.lease.is_expired(now.elapsed)) {
+        if session.is_some_and(|session| session.lease.is_expired(now.steady)) {
             self.finish_expired_runs(now);
             self.end_closing_session(now);
         }
--- a/crates/core/src/run/ending.rs
+++ b/crates/core/src/run/ending.rs
@@ -49,8 +49,8 @@
     pub incarnation: Option<ServerIncarnation>,
     /// Estimated reading of the worker's clock; `None` before the first reading.
     pub clock: Option<Duration>,
-    /// Latest end of the lease at the worker, on the agent's clock; `None` if it is unknown.
+    /// Latest end of the lease at the worker, on the agent's steady clock; `None` if it is unknown.
     pub lease_end: Option<Duration>,
-    /// When the end was reported, on the agent's clock.
+    /// When the end was reported, on the agent's steady clock.
     pub reported_at: Duration,
 }
--- a/crates/core/src/run/poll.rs
+++ b/crates/core/src/run/poll.rs
@@ -29,8 +29,7 @@
         self.last_poll += 1;
         session.open_polls.insert(self.last_poll, session.fence);
         let is_ready = session.phase == SessionPhase::Ready;
-        let lease_until =
-            if is_ready { session.extend_lease(&self.limits, now.elapsed) } else { None };
+        let lease_until = if is_ready { session.extend_lease(&self.limits, now) } else { None };
         session.acknowledged = session.last_seen;
         self.actions.push(RunAction::Poll(PollCall {
             number: self.last_poll,
--- a/crates/core/src/run/session.rs
+++ b/crates/core/src/run/session.rs
@@ -177,7 +177,7 @@
             session.fence = Some(self.fence_chooser.choose(&session.incarnation, clock));
         } else if poll_fence == session.fence && session.lease == WorkerLease::Unknown {
             self.fence_chooser.record_acceptance();
-            session.lease.bound(self.limits.longest_hold, now.elapsed);
+            session.lease.bound(self.limits.longest_hold, now.steady);
             if session.phase == SessionPhase::Connecting {
                 session.phase = SessionPhase::StoppingOrphans;
             }
--- a/crates/core/src/run/worker_lease.rs
+++ b/crates/core/src/run/worker_lease.rs
@@ -5,10 +5,12 @@
 //! shortens that lease to the longest hold. So the agent does not calculate with the ends that it
 //! asked for. It relies on the time since the last call that may have extended the lease, and until
 //! the worker accepts its calls alone, the lease counts as unknown.
+//!
+//! That time is steady: a suspension of the machine stops the worker's clock, too.
 
 use std::time::Duration;
 
-/// Slowest rate at which the worker's clock runs, in percent of the agent's clock.
+/// Slowest rate at which the worker's clock runs, in percent of the agent's steady clock.
 const MIN_CLOCK_RATE_PERCENT: u32 = 97;
 
 /// Bound for the end of the lease.
@@ -16,7 +18,7 @@
 pub(super) enum WorkerLease {
     /// Calls from before the session may still extend the lease.
     Unknown,
-    /// The lease has ended by this time on the agent's clock, unless it is extended again.
+    /// The lease has ended by this time on the agent's steady clock, unless it is extended again.
     EndsBy(Duration),
 }
 
@@ -50,7 +52,7 @@
         }
     }
 
-    /// Latest end on the agent's clock; `None` if it is unknown.
+    /// Latest end on the agent's steady clock; `None` if it is unknown.
     pub(super) fn latest(self) -> Option<Duration> {
         match self {
             Self::Unknown => None,
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -1,26 +1,29 @@
 //! Clock readings and hybrid logical time.
 //!
 //! The state machines of this package read no clock; their caller passes a [`Moment`]. It contains
-//! the time since the process started, which is monotonic and used for all limits, and the wall
-//! clock, which only orders and labels events. [`HybridClock`] merges the wall clocks of several
+//! the time since the process started, which is monotonic and used for all limits of this process,
+//! the same time without suspensions, which bounds what runs on another steady clock of the same
+//! machine, and the wall clock, which only orders and labels events. [`HybridClock`] merges the wall clocks of several
 //! processes into timestamps that order the sending of a message before its receipt, even if the
 //! wall clocks disagree.
 
 use std::time::Duration;
 
-/// Reading of both clocks, passed with every event.
+/// Reading of the clocks, passed with every event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Moment {
-    /// Monotonic time since the process started.
+    /// Monotonic time since the process started, including suspensions of the machine.
     pub elapsed: Duration,
+    /// Monotonic time since the process started, without suspensions of the machine.
+    pub steady: Duration,
     /// Wall clock time since the Unix epoch.
     pub wall: Duration,
 }
 
 impl Moment {
-    /// Creates a moment from both clock readings.
+    /// Moment on a machine that has not been suspended since the process started.
     pub fn new(elapsed: Duration, wall: Duration) -> Self {
-        Self { elapsed, wall }
+        Self { elapsed, steady: elapsed, wall }
     }
 }
 
--- a/crates/core/tests/runs/harness.rs
+++ b/crates/core/tests/runs/harness.rs
@@ -17,6 +17,8 @@
 
 pub struct RunHarness {
     now: Duration,
+    /// Part of `now` for which the machine was suspended.
+    suspended: Duration,
     ledger: RunLedger,
     open_polls: Vec<u64>,
     transcript: String,
@@ -60,6 +62,7 @@
     pub fn new() -> Self {
         Self {
             now: Duration::from_secs(10),
+            suspended: Duration::ZERO,
             ledger: RunLedger::new(RunLimits::default()),
             open_polls: Vec::new(),
             transcript: String::new(),
@@ -78,7 +81,8 @@
 
     fn send(&mut self, title: &str, event: RunEvent) {
         let _ = writeln!(self.transcript, "{} > {title}", self.now.as_millis());
-        let now = Moment::new(self.now, self.now);
+        let steady = self.now - self.suspended;
+        let now = Moment { elapsed: self.now, steady, wall: self.now };
         for action in self.ledger.handle(event, now) {
             self.record(action);
         }
@@ -202,6 +206,12 @@
         self.send("tick", RunEvent::Tick);
     }
 
+    /// Suspends the machine, and resumes it with a tick.
+    pub fn suspend_ms(&mut self, millis: u64) {
+        self.suspended += Duration::from_millis(millis);
+        self.advance_ms(millis);
+    }
+
     pub fn transcript(&self) -> &str {
         &self.transcript
     }
--- a/crates/core/tests/runs/main.rs
+++ b/crates/core/tests/runs/main.rs
@@ -328,3 +328,18 @@
     let ended = "finished 0 Interrupted(ServerLost) evidence=unlisted";
     assert!(harness.transcript().contains(ended), "{}", harness.transcript());
 }
+
+/// Failure: the agent counted the suspension of the machine, and the clock of the lease did not.
+#[test]
+fn a_run_is_not_reported_as_ended_because_its_machine_was_suspended() {
+    let mut harness = RunHarness::ready();
+    harness.run(0);
+    harness.answer_start(run_key(0, 1), StartAnswer::Started);
+
+    harness.suspend_ms(3_000);
+    let resumed = harness.transcript().to_owned();
+    harness.advance_ms(1_100);
+
+    assert!(!resumed.contains("finished"), "{resumed}");
+    assert!(harness.transcript().contains("LeaseExpired"), "{}", harness.transcript());
+}
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -8,7 +8,7 @@
 /// Clock of the operating system.
 ///
 /// Elapsed time includes the time for which the machine was suspended, so that leases and deadlines
-/// that ended during the suspension count as expired. The wall clock is read once at the start and
+/// that ended during the suspension count as expired. Steady time does not include it. The wall clock is read once at the start and
 /// advanced by the elapsed time, so both clocks agree for the lifetime of the process.
 #[derive(Debug)]
 pub struct SystemClock {
@@ -47,6 +47,6 @@
 impl ClockSource for SystemClock {
     fn now(&self) -> Moment {
         let elapsed = self.elapsed();
-        Moment::new(elapsed, self.wall_at_start + elapsed)
+        Moment { elapsed, steady: self.start.elapsed(), wall: self.wall_at_start + elapsed }
     }
 }
