Do not take a run for ended because its row cannot be read

What callers would see: two runs of one task at once, as the entry starts it elsewhere while it runs; or a refusal that says nothing ran, after a run.

Cause: a row that could not be read was skipped, so that the list no longer showed the run, and a run that is not shown counts as over (interrupted, or never received if only its stop was confirmed). The test for a list that is cut off after 500 ends counted readable rows only.

Why this works: a list now says which tasks its unreadable rows name. A run of such a task is neither over nor known not to have started; the next list in which the row is gone decides. A row that names no task cannot be about a run of an agent, which starts each under a name, so odd rows of other clients hold nothing up.

The two constructors in crates/core/tests/runs get the new fields, empty; no check there changes.

--- a/crates/core/src/run/poll.rs
+++ b/crates/core/src/run/poll.rs
@@ -7,13 +7,11 @@
 };
 use crate::agent::RunResult;
 use crate::entry::{InterruptCause, NotStartedReason};
+use crate::id::TaskName;
 use crate::time::Moment;
 use bytes::Bytes;
 use std::time::Duration;
 
-/// Maximum number of ended runs in one answer of a worker; a list of this length may be incomplete.
-const MAX_LISTED_ENDS: usize = 500;
-
 /// Poll that a listing answers.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PollOrigin {
@@ -66,7 +64,7 @@
         let Some(poll_fence) = session.open_polls.remove(&number) else { return };
         match answer {
             PollAnswer::Listing(listing) => {
-                self.process_listing(listing, PollOrigin { number, fence: poll_fence }, now);
+                self.process_listing(&listing, PollOrigin { number, fence: poll_fence }, now);
             }
             PollAnswer::Fenced { clock } => {
                 session.clock.update(clock, now.elapsed);
@@ -77,7 +75,7 @@
         }
     }
 
-    pub(super) fn process_listing(&mut self, listing: RunListing, poll: PollOrigin, now: Moment) {
+    pub(super) fn process_listing(&mut self, listing: &RunListing, poll: PollOrigin, now: Moment) {
         let Some(session) = &mut self.session else { return };
         if let Some(started_at) =
             listing.started_at.filter(|started_at| *started_at != session.incarnation.started_at)
@@ -86,14 +84,14 @@
             return;
         }
         session.clock.update(listing.clock, now.elapsed);
-        let is_complete = listing.ended.len() < MAX_LISTED_ENDS;
-        for row in listing.ended {
-            self.record_end(&row, now);
+        for row in &listing.ended {
+            self.record_end(row, now);
         }
         self.stop_orphans(&listing.running);
         self.stop_stalled_runs(&listing.running, now);
-        if is_complete && self.is_token_accepted(poll) {
-            self.finish_unlisted_runs(&listing.running, poll.number, now);
+        self.mark_unreadable_runs(&listing.unreadable);
+        if !listing.is_truncated && self.is_token_accepted(poll) {
+            self.finish_unlisted_runs(listing, poll.number, now);
         }
         self.advance_phase(&listing.running, listing.clock, poll.fence, now);
     }
@@ -150,18 +148,27 @@
         current.is_some() && poll.fence == current
     }
 
+    /// Marks the runs of tasks with unreadable rows as started, since such a row may be theirs.
+    fn mark_unreadable_runs(&mut self, unreadable: &[TaskName]) {
+        for run in self.runs.values_mut() {
+            run.has_started |= unreadable.contains(&run.key.task_name);
+        }
+    }
+
     /// Finishes runs whose start or stop was confirmed before the poll was sent and that the worker
-    /// does not list. Either the stop arrived before the start, or they belonged to an earlier
-    /// incarnation of the server.
+    /// does not list, not even in a row that cannot be read. Either the stop arrived before the
+    /// start, or they belonged to an earlier incarnation of the server.
     pub(super) fn finish_unlisted_runs(
         &mut self,
-        running: &[RunningRow],
+        listing: &RunListing,
         poll_number: PollNumber,
         now: Moment,
     ) {
         let is_unlisted = |run: &TrackedRun| {
             let is_confirmed = run.confirmed_after.is_some_and(|earlier| earlier < poll_number);
-            is_confirmed && !running.iter().any(|row| row.key == run.key)
+            let is_listed = listing.running.iter().any(|row| row.key == run.key)
+                || listing.unreadable.contains(&run.key.task_name);
+            is_confirmed && !is_listed
         };
         for task in self.tasks_matching(is_unlisted) {
             let result = self.runs.get(&task).map_or(NEVER_RECEIVED, unlisted_result);
--- a/crates/core/src/run/protocol.rs
+++ b/crates/core/src/run/protocol.rs
@@ -168,6 +168,10 @@
     pub running: Vec<RunningRow>,
     /// Ended runs that are not acknowledged yet, ordered by end number.
     pub ended: Vec<EndedRow>,
+    /// Whether more ended runs may follow once these are acknowledged.
+    pub is_truncated: bool,
+    /// Tasks named by rows, of running or ended runs, that could not be read otherwise.
+    pub unreadable: Vec<TaskName>,
 }
 
 /// Result of a [`PollCall`].
--- a/crates/core/tests/runs/harness.rs
+++ b/crates/core/tests/runs/harness.rs
@@ -196,6 +196,8 @@
             started_at: started_at.map(Duration::from_secs),
             running: running.collect(),
             ended: ended.collect(),
+            is_truncated: false,
+            unreadable: Vec::new(),
         };
         let answer = PollAnswer::Listing(listing);
         self.send(&title, RunEvent::PollReturned { number, answer });
--- a/crates/core/tests/runs/worker_model.rs
+++ b/crates/core/tests/runs/worker_model.rs
@@ -127,6 +127,8 @@
             started_at: Some(self.incarnation.started_at),
             running: running.collect(),
             ended: self.ended.clone(),
+            is_truncated: false,
+            unreadable: Vec::new(),
         })
     }
 
