Know an agent again whose place a late heartbeat took, once the other is silent

After a late heartbeat of a dead agent, those of the living one counted as outdated until its record was forgotten, a minute later, and its server got no tasks from that entry. an_agent_that_a_late_heartbeat_replaced_is_known_again_once_the_other_is_silent failed on the parent. A replaced incarnation replaces the present one in turn if that has sent nothing for silent_after; tasks of either are asked about, not given up, so a wrong guess costs a status query.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -151,7 +151,8 @@
             }
             return (ReportOutcome::Updated, index);
         }
-        if server.has_retired(report.incarnation) {
+        let is_current_heard = now < server.last_heartbeat() + self.limits.silent_after;
+        if server.has_retired(report.incarnation) && is_current_heard {
             return (ReportOutcome::Outdated, index);
         }
         self.replace(index, report, now);
--- a/crates/core/tests/entry/run_leases.rs
+++ b/crates/core/tests/entry/run_leases.rs
@@ -5,6 +5,7 @@
 use parsleyspool_core::config::RequestRule;
 use parsleyspool_core::directory::{DirectoryLimits, ServerReport};
 use parsleyspool_core::entry::{EntryAction, EntryEvent, EntryLimits, EntryMachine};
+use parsleyspool_core::id::Incarnation;
 use parsleyspool_core::timeline::EventKind;
 use std::time::Duration;
 
@@ -28,6 +29,11 @@
     entry_with_rule(limits, rule)
 }
 
+/// Incarnation of the agent that the entry knows.
+fn current_incarnation(machine: &EntryMachine) -> Option<Incarnation> {
+    machine.directory().iter().next().map(|(_, server)| server.incarnation())
+}
+
 fn has_interrupted(actions: &[EntryAction]) -> bool {
     actions.iter().any(|action| {
         matches!(action, EntryAction::RecordEvent(event) if event.kind == EventKind::TaskInterrupted)
@@ -82,3 +88,20 @@
     assert!(!has_interrupted(&actions));
     assert!(starts(actions).is_empty());
 }
+
+/// Failure: after such a heartbeat, those of the agent that lives count as outdated until the server
+/// is forgotten, and it gets no tasks.
+#[test]
+fn an_agent_that_a_late_heartbeat_replaced_is_known_again_once_the_other_is_silent() {
+    let mut machine = leasing_entry();
+    let late = ServerReport { incarnation: 2, ..report(1, 0, 0) };
+    machine.handle(EntryEvent::Heartbeat(report(1, 0, 0)), at(5));
+    machine.handle(EntryEvent::Heartbeat(late), at(20));
+
+    machine.handle(EntryEvent::Heartbeat(report(2, 0, 0)), at(300));
+    let soon = current_incarnation(&machine);
+    machine.handle(EntryEvent::Heartbeat(report(3, 0, 0)), at(1_000));
+
+    assert_eq!(soon, Some(2));
+    assert_eq!(current_incarnation(&machine), Some(1));
+}
