--- a/crates/daemon/src/agent/leased_runs.rs
+++ b/crates/daemon/src/agent/leased_runs.rs
@@ -270,8 +270,8 @@
 }
 
 /// The server of this name deregistered; ignored unless it is known to be leaving. The message does
-/// not name the incarnation, and a server says that it leaves before it deregisters, so another one
-/// is that of an earlier incarnation, or of a server whose requests will fail.
+/// The server of this name deregistered. The message does not name the incarnation and may be that of
+/// an earlier one, so it is ignored unless the server has announced that it leaves.
 #[derive(Debug)]
 pub(crate) struct DeregisterServer(pub ServerName);
 
