Play restarts of servers under their ids on real processes

Entries and agents run as the deploy file starts them; the store and the servers are stand-ins that speak the platform's protocol.

--- /dev/null
+++ b/crates/cli/tests/platform/deployment.rs
@@ -0,0 +1,215 @@
+//! Entries and agents as real processes on loopback addresses of their own; the store and the
+//! workers run within the test.
+
+use crate::http_server::HttpServer;
+use crate::play_size::PlaySize;
+use crate::process::PlatformProcess;
+use crate::run_record::RunRecord;
+use crate::settings_template::render;
+use crate::store_standin::StoreStandIn;
+use crate::worker_standin::{LiveWorker, SERVICE, WorkerIdentity};
+use futures_util::future::join_all;
+use serde_json::{Value, json};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use tokio::net::TcpListener;
+
+/// Host in the requests of callers.
+pub const HOST: &str = "counter.example";
+/// Path before the id of a job.
+pub const PATH_PREFIX: &str = "/balance/";
+const ENTRY_TEMPLATE: &str = include_str!("../../../../deploy/entry.yaml");
+const AGENT_TEMPLATE: &str = include_str!("../../../../deploy/agent.yaml");
+/// Failure domains, to which processes are assigned in round-robin order.
+const DOMAINS: [&str; 3] = ["bc-coast-a", "bc-coast-b", "bc-coast-c"];
+const FRONT_PORT: u16 = 8161;
+const WORKER_PORT: u16 = 8165;
+const CONTROL_PORT: u16 = 8166;
+const READY_PORT: u16 = 8167;
+const STORE_PORT: u16 = 8169;
+const INTERNAL_PORTS: [u16; 2] = [7720, 7735];
+/// Last byte of the address of the store and of the first entry and agent.
+const STORE_HOST: u8 = 1;
+const FIRST_ENTRY_HOST: u8 = 10;
+const FIRST_AGENT_HOST: u8 = 50;
+/// Number of subnets that a test tries before it gives up.
+const SUBNET_TRIES: u32 = 200;
+/// Number of subnets used so far by this process.
+static SUBNET_COUNT: AtomicU32 = AtomicU32::new(0);
+
+/// Subnet of loopback addresses that no other test uses, since the port of its store is bound.
+#[derive(Debug, Clone, Copy)]
+pub struct LoopbackSubnet {
+    middle: [u8; 2],
+}
+
+impl LoopbackSubnet {
+    /// Finds a free subnet and returns it with the listener of its store.
+    async fn find() -> (Self, TcpListener) {
+        for _ in 0..SUBNET_TRIES {
+            let count = SUBNET_COUNT.fetch_add(1, Ordering::SeqCst);
+            let [.., low, high] = std::process::id().wrapping_add(count).to_be_bytes();
+            let subnet = Self { middle: [low | 0x10, high] };
+            if let Ok(listener) = TcpListener::bind(subnet.address(STORE_HOST, STORE_PORT)).await {
+                return (subnet, listener);
+            }
+        }
+        panic!("no loopback subnet is free");
+    }
+
+    fn address(self, host: u8, port: u16) -> SocketAddr {
+        let [second, third] = self.middle;
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, second, third, host)), port)
+    }
+}
+
+/// Addresses of an entry.
+#[derive(Debug, Clone, Copy)]
+pub struct EntryAddresses {
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub control: SocketAddr,
+}
+
+/// Running deployment; dropping it ends its processes.
+#[derive(Debug)]
+pub struct PlatformDeployment {
+    subnet: LoopbackSubnet,
+    pub entries: Vec<EntryAddresses>,
+    pub processes: Vec<PlatformProcess>,
+    pub workers: Vec<LiveWorker>,
+    pub record: Arc<RunRecord>,
+    _store: HttpServer,
+    /// Directory of the settings and logs.
+    directory: PathBuf,
+    /// Whether the directory outlives the deployment.
+    is_directory_kept: bool,
+}
+
+impl PlatformDeployment {
+    /// Starts the store, the processes and the workers.
+    pub async fn start(size: &PlaySize) -> Self {
+        let (subnet, listener) = LoopbackSubnet::find().await;
+        let store = Arc::new(StoreStandIn::default());
+        store.put_operator_record("config", &configuration());
+        let [second, third] = subnet.middle;
+        let name = format!("parsleyspool-platform-{}-{second}-{third}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&directory).expect("a directory can be made");
+        let entry_hosts = (0..size.entries).map(|index| FIRST_ENTRY_HOST + index as u8);
+        let entries = entry_hosts.map(|host| EntryAddresses {
+            front: subnet.address(host, FRONT_PORT),
+            ready: subnet.address(host, READY_PORT),
+            control: subnet.address(host, CONTROL_PORT),
+        });
+        let mut deployment = Self {
+            subnet,
+            entries: entries.collect(),
+            processes: Vec::new(),
+            workers: Vec::new(),
+            record: Arc::new(RunRecord::begin()),
+            _store: HttpServer::open(listener, store),
+            directory,
+            is_directory_kept: false,
+        };
+        for index in 0..size.entries {
+            let host = FIRST_ENTRY_HOST + index as u8;
+            deployment.spawn("entry", ENTRY_TEMPLATE, &format!("edge-{}", index + 1), host);
+        }
+        for index in 0..size.agents {
+            let host = FIRST_AGENT_HOST + index as u8;
+            deployment.spawn("agent", AGENT_TEMPLATE, &format!("side-{}", index + 1), host);
+        }
+        deployment.start_workers(size).await;
+        deployment
+    }
+
+    /// Keeps the directory of the settings and logs, and returns it.
+    pub fn keep_directory(&mut self) -> &Path {
+        self.is_directory_kept = true;
+        &self.directory
+    }
+
+    fn spawn(&mut self, role: &str, template: &str, name: &str, host: u8) {
+        let settings = render(template, &self.settings_fields(name, host));
+        self.processes.push(PlatformProcess::start(&self.directory, role, name, &settings));
+    }
+
+    async fn start_workers(&mut self, size: &PlaySize) {
+        let workers = (0..size.agents).map(|index| {
+            let host = FIRST_AGENT_HOST + index as u8;
+            let identity = WorkerIdentity {
+                id: format!("i-{:08x}", size.seed << 8 | index as u64),
+                machine: format!("side-{}", index + 1),
+                domain: domain_of(host).to_owned(),
+                address: self.subnet.address(host, WORKER_PORT),
+                control: self.subnet.address(host, CONTROL_PORT),
+            };
+            let seed = size.seed.wrapping_mul(1000) + index as u64;
+            LiveWorker::start(identity, size.faults, self.record.clone(), seed)
+        });
+        self.workers = join_all(workers).await;
+    }
+
+    /// Fields of the settings of a process, as the platform fills them in.
+    fn settings_fields(&self, name: &str, host: u8) -> Value {
+        let address = |port| self.subnet.address(host, port).to_string();
+        let seeds = self.entries.iter().map(|entry| entry.control.to_string());
+        let zones = DOMAINS.iter().map(|domain| ((*domain).to_owned(), json!("bc-coast")));
+        json!({
+            "nodeName": name,
+            "zone": domain_of(host),
+            "zones": zones.collect::<serde_json::Map<_, _>>(),
+            "ip": self.subnet.address(host, 0).ip().to_string(),
+            "listenAddrs": {
+                "front": address(FRONT_PORT),
+                "ready": address(READY_PORT),
+                "control": address(CONTROL_PORT),
+            },
+            "internalPorts": INTERNAL_PORTS,
+            "seeds": seeds.take(3).collect::<Vec<_>>(),
+            "bounds": {"graceS": 6},
+            "app": address(WORKER_PORT),
+            "platform": {
+                "address": self.subnet.address(STORE_HOST, STORE_PORT).to_string(),
+                "keep_s": 20,
+            },
+        })
+    }
+}
+
+impl Drop for PlatformDeployment {
+    fn drop(&mut self) {
+        self.processes.clear();
+        if !self.is_directory_kept && !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+fn domain_of(host: u8) -> &'static str {
+    DOMAINS[usize::from(host) % DOMAINS.len()]
+}
+
+/// Configuration of the operator, with one route.
+fn configuration() -> Value {
+    json!({
+        "version": 1,
+        "routes": [{
+            "name": "balance", "hostname": HOST, "pathPrefix": PATH_PREFIX, "service": SERVICE,
+            "routeType": "non_idempotent", "timeoutMs": 1500, "targetLatencyMs": 60,
+            "priority": 0, "maxAttempts": 3, "stretch": 1.6,
+        }],
+        "services": [{
+            "name": SERVICE, "healthPath": "/health", "maxConns": 64, "protocol": "h1",
+            "tls": false, "coldStartS": 0.0, "coldPerS": 0.0, "enforcesCapacity": true,
+            "standby": false,
+        }],
+        "limits": {
+            "maxHeaderBytes": 16384, "maxBodyBytes": 262_144, "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    })
+}
--- /dev/null
+++ b/crates/cli/tests/platform/process.rs
@@ -0,0 +1,50 @@
+//! Process of the `parsleyspool` program that is ended by its handle.
+
+use std::fs::{self, File};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_parsleyspool");
+/// Variable with the path of the settings file.
+const SETTINGS_VARIABLE: &str = "PARSLEYSPOOL_BOOT";
+
+/// Running entry or agent; dropping it kills the process.
+#[derive(Debug)]
+pub struct PlatformProcess {
+    pub name: String,
+    log: PathBuf,
+    child: Child,
+}
+
+impl PlatformProcess {
+    /// Starts a process that writes its log to a file in `directory`.
+    pub fn start(directory: &Path, role: &str, name: &str, settings: &str) -> Self {
+        let settings_path = directory.join(format!("{name}.yaml"));
+        fs::write(&settings_path, settings).expect("settings can be written");
+        let log = directory.join(format!("{name}.log"));
+        let output = File::create(&log).expect("the log file can be created");
+        let mut command = Command::new(PROGRAM);
+        command.args(["platform", role]).env(SETTINGS_VARIABLE, &settings_path);
+        command.stdin(Stdio::null()).stdout(output).stderr(Stdio::inherit());
+        let child = command.spawn().expect("the program starts");
+        Self { name: name.to_owned(), log, child }
+    }
+
+    /// Lines of its log so far.
+    pub fn log_lines(&self) -> Vec<String> {
+        let log = fs::read_to_string(&self.log).expect("the log can be read");
+        log.lines().map(str::to_owned).collect()
+    }
+
+    /// Whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_none())
+    }
+}
+
+impl Drop for PlatformProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/platform/waits.rs
@@ -0,0 +1,48 @@
+//! Waits until the entries of a deployment serve.
+
+use crate::deployment::PlatformDeployment;
+use parsleyspool_wire::operator::StatusBody;
+use reqwest::Client;
+use std::time::Duration;
+
+/// Number of polls after which a wait has failed.
+const MAX_POLLS: u32 = 3000;
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+const QUERY_TIMEOUT: Duration = Duration::from_secs(4);
+
+impl PlatformDeployment {
+    /// Waits until every entry is ready and knows `agents` servers that accept tasks.
+    pub async fn wait_serving(&mut self, agents: usize) {
+        let client = Client::builder().no_proxy().timeout(QUERY_TIMEOUT).build().expect("a client");
+        for entry in self.entries.clone() {
+            let mut polls = 0;
+            while !(is_ready(&client, &format!("http://{}/v1/ready", entry.ready)).await
+                && serving_agents(&client, &format!("http://{}/v1/status", entry.control)).await
+                    >= agents)
+            {
+                polls += 1;
+                assert!(polls < MAX_POLLS, "the entry at {} does not serve", entry.front);
+                self.assert_running();
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Asserts that no process has ended.
+    pub fn assert_running(&mut self) {
+        for process in &mut self.processes {
+            assert!(process.is_running(), "{} has ended", process.name);
+        }
+    }
+}
+
+async fn is_ready(client: &Client, url: &str) -> bool {
+    client.get(url).send().await.is_ok_and(|response| response.status().is_success())
+}
+
+async fn serving_agents(client: &Client, url: &str) -> usize {
+    let Ok(response) = client.get(url).send().await else { return 0 };
+    let Ok(status) = response.json::<StatusBody>().await else { return 0 };
+    let agents = status.processes.iter().filter(|process| process.role == "agent");
+    agents.filter(|process| process.state == "serving").count()
+}
