Restart servers that were long up, which then take no tasks from their agents

A start with the fencing token of the former incarnation reaches the new one, and the agent's next tokens, from the new clock, are lower.

--- a/crates/cli/tests/platform/play_size.rs
+++ b/crates/cli/tests/platform/play_size.rs
@@ -37,6 +37,7 @@
             restart_interval: Duration::from_millis(1200),
             max_down: Duration::from_millis(60),
             faults: WorkerFaults {
+                first_age: Duration::ZERO,
                 max_announce_delay: Duration::from_millis(40),
                 late_per_mille: 0,
                 max_answer_delay: Duration::from_millis(15),
@@ -50,6 +51,17 @@
         Self { restarted: 4, restart_interval, ..Self::all_restart() }
     }
 
+    /// Short play in which all workers, long up when their agents start, restart once.
+    pub fn old_restart() -> Self {
+        let all_restart = Self::all_restart();
+        Self {
+            length: Duration::from_secs(6),
+            restart_interval: Duration::from_millis(4000),
+            faults: WorkerFaults { first_age: Duration::from_secs(3600), ..all_restart.faults },
+            ..all_restart
+        }
+    }
+
     /// Short and small play in which no worker restarts.
     pub fn none_restart() -> Self {
         Self {
@@ -64,7 +76,7 @@
 
     /// Replaces what is set by the variables `SEED`, `ENTRIES`, `AGENTS`, `JOBS` (a second),
     /// `SECONDS`, `RESTARTED`, `RESTART_MS`, `DOWN_MS`, `LATE` (calls of a thousand),
-    /// `ANNOUNCE_MS` and `ANSWER_MS`.
+    /// `ANNOUNCE_MS`, `ANSWER_MS` and `AGE_MS` (of the workers when the agents start).
     pub fn with_environment(self) -> Self {
         let millis = |name, default| number(name).map_or(default, Duration::from_millis);
         let count = |name, default| number(name).map_or(default, |number| number as usize);
@@ -79,6 +91,7 @@
             restart_interval: millis("RESTART_MS", self.restart_interval),
             max_down: millis("DOWN_MS", self.max_down),
             faults: WorkerFaults {
+                first_age: millis("AGE_MS", self.faults.first_age),
                 max_announce_delay: millis("ANNOUNCE_MS", self.faults.max_announce_delay),
                 late_per_mille: rate("LATE", self.faults.late_per_mille),
                 max_answer_delay: millis("ANSWER_MS", self.faults.max_answer_delay),
