--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -64,7 +64,6 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED: restarted_server_processes"]
 async fn no_task_runs_twice_at_once_when_servers_restart_under_their_id() {
     let violations = violations_of(PlaySize::all_restart()).await;
 
@@ -72,7 +71,6 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED: restarted_server_processes"]
 async fn no_task_runs_twice_at_once_when_some_servers_restart_under_their_id() {
     let violations = violations_of(PlaySize::some_restart()).await;
 
@@ -82,7 +80,6 @@
 /// Failure: a start with the fencing token of the former incarnation reaches the new one, which then
 /// rejects the lower tokens of its agent until its clock has passed that of the former.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED: restarted_server_fence"]
 async fn every_server_accepts_tasks_again_after_it_restarts_under_its_id() {
     let violations = violations_of(PlaySize::old_restart()).await;
 
