--- a/crates/core/src/agent/cancel_and_query.rs
+++ b/crates/core/src/agent/cancel_and_query.rs
@@ -9,16 +9,12 @@
 
 impl AgentMachine {
     pub(super) fn cancel(&mut self, task: TaskId, now: Moment) {
-        let Some(accepted) = self.tasks.get(&task) else {
+        if !self.tasks.contains_key(&task) {
             self.forbid_all_starts(task, now);
             return;
-        };
-        if accepted.started_at.is_none() {
-            self.return_task(task, NotStartedReason::Cancelled, now);
-            self.dispatch_queued(now);
-        } else {
-            self.stop_run(task, StopReason::Cancelled);
         }
+        self.end_task(task, NotStartedReason::Cancelled, StopReason::Cancelled, now);
+        self.dispatch_queued(now);
     }
 
     /// Cancels the tasks of submissions that their entry no longer works on.
@@ -27,16 +23,27 @@
         let mut tasks: Vec<TaskId> = held.copied().collect();
         tasks.sort_unstable();
         for task in tasks {
-            let Some(accepted) = self.tasks.get(&task) else { continue };
-            if accepted.started_at.is_none() {
-                self.return_task(task, NotStartedReason::Cancelled, now);
-            } else {
-                self.stop_run(task, StopReason::SubmissionEnded);
-            }
+            self.end_task(task, NotStartedReason::Cancelled, StopReason::SubmissionEnded, now);
         }
         self.dispatch_queued(now);
     }
 
+    /// Returns a queued task, or asks the worker to stop a running one.
+    pub(super) fn end_task(
+        &mut self,
+        task: TaskId,
+        not_started: NotStartedReason,
+        stopped: StopReason,
+        now: Moment,
+    ) {
+        let Some(accepted) = self.tasks.get(&task) else { return };
+        if accepted.started_at.is_none() {
+            self.return_task(task, not_started, now);
+        } else {
+            self.stop_run(task, stopped);
+        }
+    }
+
     /// Asks the worker to stop a running task, once, if it may be stopped.
     pub(super) fn stop_run(&mut self, task: TaskId, reason: StopReason) {
         let Some(accepted) = self.tasks.get_mut(&task) else { return };
--- a/crates/core/src/agent/lease.rs
+++ b/crates/core/src/agent/lease.rs
@@ -21,12 +21,7 @@
         let mut tasks: Vec<TaskId> = unleased.map(|(task, _)| *task).collect();
         tasks.sort_unstable();
         for task in tasks {
-            let Some(accepted) = self.tasks.get(&task) else { continue };
-            if accepted.started_at.is_none() {
-                self.return_task(task, NotStartedReason::PermitLapsed, now);
-            } else {
-                self.stop_run(task, StopReason::LeaseExpired);
-            }
+            self.end_task(task, NotStartedReason::PermitLapsed, StopReason::LeaseExpired, now);
         }
         let retention = self.limits.outcome_retention;
         self.entry_leases.retain(|_, until| *until + retention > now.elapsed);
