--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/standins-2
 [ -x "$program" ] || { echo "run review/build-2.sh first" >&2; exit 2; }
-TROUBLE=${TROUBLE:-1} exec "$program" entry-killed review/6
+TROUBLE=${TROUBLE:-1} exec "$program" estimate-far-off review/6
--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -16,7 +16,7 @@
     let record = Arc::new(Record::create(directory).map_err(|error| error.to_string())?);
     record.line(&format!("case {case}, trouble: {is_troubled}"));
     let has_held = match case {
-        "entry-killed" => entry_killed(&record, is_troubled),
+        "estimate-far-off" => estimate_far_off(&record, is_troubled),
         "killed-in-turn" => killed_in_turn(&record, is_troubled),
         "orders-late" => orders_late(&record, is_troubled),
         "cancelled" => cancelled(&record, is_troubled),
@@ -33,20 +33,22 @@
     id: String,
     tasks: u64,
     work_ms: u64,
+    estimated_ms: u64,
     deadline: Duration,
 }
 
 impl Job {
     fn new(index: u64, tasks: u64, work_ms: u64) -> Self {
         let id = format!("{:016x}", 0x5c0e_7a21_d94b_0000_u64 + index);
-        Self { id, tasks, work_ms, deadline: Duration::from_millis(8000) }
+        let deadline = Duration::from_millis(8000);
+        Self { id, tasks, work_ms, estimated_ms: work_ms, deadline }
     }
 
     fn body(&self) -> String {
-        let Self { tasks, work_ms, .. } = self;
+        let Self { tasks, work_ms, estimated_ms, .. } = self;
         format!(
             "{{\"taskSpec\":\"{work_ms}\",\"bestEffort\":true,\"steps\":[{{\"count\":{tasks},\
-             \"cpu\":3100,\"memMb\":64,\"estimatedMs\":{work_ms}}}]}}"
+             \"cpu\":3100,\"memMb\":64,\"estimatedMs\":{estimated_ms}}}]}}"
         )
     }
 }
@@ -106,21 +108,56 @@
     Ok(overlaps.is_empty())
 }
 
-/// One of seven entries of a deployment with 160 servers is killed once, and its callers submit
-/// again.
-fn entry_killed(record: &Arc<Record>, is_troubled: bool) -> CaseResult<bool> {
-    let mut deployment = Deployment::start(Size { entries: 7, agents: 160 }, record.clone())?;
-    let fronts = vec![deployment.front(0), deployment.front(1)];
-    let jobs = (0..8).map(|index| Job::new(index, 4, 4000));
-    let callers: Vec<_> = jobs.map(|job| submit(record, fronts.clone(), job)).collect();
-    std::thread::sleep(Duration::from_secs(1));
-    if is_troubled {
-        deployment.kill_entry(0);
+/// All processes are killed and started again. The first job at each entry after that states an
+/// estimate that is far too long; it is the only one.
+fn estimate_far_off(record: &Arc<Record>, is_troubled: bool) -> CaseResult<bool> {
+    /// Time between two jobs, which go to the entries in turn.
+    const INTERVAL: Duration = Duration::from_millis(1500);
+    /// Jobs before the kill, and in all.
+    const JOBS: [u64; 2] = [10, 40];
+    /// `recoveryS`.
+    const RECOVERY: Duration = Duration::from_secs(12);
+    const ENTRIES: usize = 3;
+    let size = Size { entries: ENTRIES as u8, agents: 11 };
+    let mut deployment = Deployment::start(size, record.clone())?;
+    let mut has_far_estimate = [!is_troubled; ENTRIES];
+    let mut back_at = None;
+    let mut callers = Vec::new();
+    for index in 0..JOBS[1] {
+        if index == JOBS[0] {
+            deployment.restart_all()?;
+            back_at = Some(record.now());
+        }
+        let entry = (index % ENTRIES as u64) as usize;
+        let mut job = Job { deadline: Duration::from_millis(1500), ..Job::new(index, 2, 60) };
+        if back_at.is_some() && deployment.is_ready(entry) && !has_far_estimate[entry] {
+            has_far_estimate[entry] = true;
+            job = Job { tasks: 1, estimated_ms: 3600, deadline: Duration::from_secs(8), ..job };
+        }
+        let sent_at = record.now();
+        callers.push((sent_at, submit(record, vec![deployment.front(entry)], job)));
+        std::thread::sleep(INTERVAL);
     }
-    for caller in callers {
-        let _ = caller.join();
+    let back_at = back_at.unwrap_or_default();
+    let mut counts = [(0, 0); 2];
+    for (sent_at, caller) in callers {
+        let is_served = matches!(caller.join(), Ok(Outcome::Answered(200, _)));
+        let phase = usize::from(sent_at > back_at);
+        if phase == 0 || sent_at > back_at + RECOVERY {
+            counts[phase].0 += usize::from(is_served);
+            counts[phase].1 += 1;
+        }
     }
-    has_no_overlap(record)
+    let [(before, sent_before), (after, sent_after)] = counts;
+    record.line(&format!(
+        "served before the fault: {before} of {sent_before}, {} s after it and later: {after} of \
+         {sent_after}",
+        RECOVERY.as_secs()
+    ));
+    if before * 4 < sent_before || sent_after == 0 {
+        return Err("nothing to compare with".to_owned());
+    }
+    Ok(after * 4 >= sent_after)
 }
 
 /// An entry is killed, and 0.8 s later two agents; the servers next to these stay up.
--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -245,6 +245,23 @@
         Ok(())
     }
 
+    /// Kills all entries and agents at once, and starts them again after [`RESTART_DELAY`].
+    pub fn restart_all(&mut self) -> CaseResult<()> {
+        for process in self.entries.iter_mut().chain(&mut self.agents) {
+            let _ = process.child.kill();
+        }
+        for process in self.entries.iter_mut().chain(&mut self.agents) {
+            let _ = process.child.wait();
+        }
+        self.record.line("all processes are killed");
+        std::thread::sleep(RESTART_DELAY);
+        for index in 0..self.entries.len() {
+            self.restart_entry(index)?;
+        }
+        let agents: Vec<usize> = (0..self.agents.len()).collect();
+        self.restart_agents(&agents)
+    }
+
     /// Plays the platform for `time`: kills entries that exceed their memory, and starts those that
     /// have ended again after [`RESTART_DELAY`].
     pub fn end_large_entries_for(&mut self, time: Duration) -> CaseResult<()> {
