--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -56,8 +56,7 @@
 /// Sends one request about a job and waits for its end.
 fn send(record: &Record, entry: SocketAddr, method: &str, job: &Job) -> Outcome {
     let target = format!("{PATH_PREFIX}{}", job.id);
-    let headers =
-        format!("host: {HOST}\r\nx-request-deadline: {}\r\n", job.deadline.as_millis());
+    let headers = format!("host: {HOST}\r\nx-request-deadline: {}\r\n", job.deadline.as_millis());
     let body = if method == "POST" { job.body() } else { String::new() };
     record.line(&format!("{method} {} to {entry}", job.id));
     let outcome = http::send(entry, method, &target, &headers, &body, job.deadline);
@@ -189,7 +188,7 @@
 
 /// An entry is killed while servers leave half of their orders unanswered and carry them out late.
 fn orders_late(record: &Arc<Record>, is_troubled: bool) -> CaseResult<bool> {
-    const ROUNDS: u64 = 10;
+    const ROUNDS: u64 = 14;
     let mut deployment = Deployment::start(Size { entries: 3, agents: 45 }, record.clone())?;
     let set_late_percent = |deployment: &Deployment, percent| {
         for worker in &deployment.workers {
@@ -226,8 +225,7 @@
     let deployment = Deployment::start(Size { entries: 3, agents: 3 }, record.clone())?;
     let entry = deployment.front(0);
     let jobs: Vec<Job> = (0..4).map(|index| Job::new(index, 2, 6000)).collect();
-    let callers: Vec<_> =
-        jobs.iter().map(|job| submit(record, vec![entry], job.clone())).collect();
+    let callers: Vec<_> = jobs.iter().map(|job| submit(record, vec![entry], job.clone())).collect();
     std::thread::sleep(Duration::from_secs(1));
     if record.runs().len() < 8 {
         return Err("the tasks did not start".to_owned());
--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -100,8 +100,7 @@
         }
         for index in 0..size.agents {
             let host = FIRST_AGENT_HOST + index;
-            let process =
-                deployment.spawn("agent", size, &format!("side-{}", index + 1), host)?;
+            let process = deployment.spawn("agent", size, &format!("side-{}", index + 1), host)?;
             deployment.agents.push(process);
             let identity = Identity {
                 id: format!("i-{:08x}", 0x7f3a_9100_u32 + u32::from(index)),
