--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -107,8 +107,8 @@
     Ok(overlaps.is_empty())
 }
 
-/// All processes are killed and started again. The first job at each entry after that states an
-/// estimate that is far too long; it is the only one.
+/// All processes are killed right after a change of the configuration, and started again. The first
+/// job at each entry after that states an estimate that is far too long; it is the only one.
 fn estimate_far_off(record: &Arc<Record>, is_troubled: bool) -> CaseResult<bool> {
     /// Time between two jobs, which go to the entries in turn.
     const INTERVAL: Duration = Duration::from_millis(1500);
@@ -124,7 +124,7 @@
     let mut callers = Vec::new();
     for index in 0..JOBS[1] {
         if index == JOBS[0] {
-            deployment.restart_all()?;
+            deployment.restart_all_after_change()?;
             back_at = Some(record.now());
         }
         let entry = (index % ENTRIES as u64) as usize;
--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -62,6 +62,7 @@
     subnet: [u8; 2],
     directory: PathBuf,
     pub record: Arc<Record>,
+    store: Arc<Store>,
     pub workers: Vec<Arc<Worker>>,
     pub entries: Vec<Process>,
     pub agents: Vec<Process>,
@@ -83,6 +84,7 @@
             subnet,
             directory,
             record,
+            store,
             workers: Vec::new(),
             entries: Vec::new(),
             agents: Vec::new(),
@@ -244,8 +246,14 @@
         Ok(())
     }
 
-    /// Kills all entries and agents at once, and starts them again after [`RESTART_DELAY`].
-    pub fn restart_all(&mut self) -> CaseResult<()> {
+    /// Writes a change of the configuration, kills all entries and agents right after the store has
+    /// confirmed it, and starts them again after [`RESTART_DELAY`].
+    pub fn restart_all_after_change(&mut self) -> CaseResult<()> {
+        let changed = CONFIGURATION
+            .replace("\"version\":1", "\"version\":4")
+            .replace("\"timeoutMs\":9000", "\"timeoutMs\":9500");
+        self.store.put_operator_record("config", &changed);
+        self.record.line("a change of the configuration is confirmed");
         for process in self.entries.iter_mut().chain(&mut self.agents) {
             let _ = process.child.kill();
         }
