Hold the tasks of a job once until it is admitted, however many it states

Cause: the adapter made a list of `count` copies of the task, and the entry compared the length of that list with its limit of 790.

A submitted job now holds groups of equal tasks with the number that the caller states. ActiveJob makes the tasks one by one, and exists only for an admitted job.

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -12,7 +12,7 @@
 //! longer than the window.
 
 use crate::id::{Offset, SubmissionId};
-use crate::job::TaskRequest;
+use crate::job::TaskGroup;
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 use xxhash_rust::xxh3::Xxh3;
@@ -34,9 +34,10 @@
 /// Digest of the requests and payloads of a job.
 ///
 /// It distinguishes a resubmission from a different job with the same idempotency key.
-pub fn content_digest(tasks: &[TaskRequest]) -> u64 {
+pub fn content_digest(groups: &[TaskGroup]) -> u64 {
     let mut hasher = Xxh3::new();
-    for task in tasks {
+    for TaskGroup { task, count } in groups {
+        hasher.update(&count.to_le_bytes());
         for part in [task.request_name.as_bytes(), &task.payload] {
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part);
--- a/crates/core/src/entry/admission.rs
+++ b/crates/core/src/entry/admission.rs
@@ -111,18 +111,18 @@
     fn check_request(&self, request: &JobRequest, _now: Moment) -> Result<(), JobError> {
         let configuration = self.ledger.configuration();
         let spec = find_spec(configuration, request)?;
-        let count = request.tasks.len();
+        let count = request.task_count();
         if count == 0 {
             let details = LimitDetails::new(LimitName::LeastTasks, 1, 0);
             return Err(JobError::new(ErrorKind::InvalidRequest, details));
         }
-        if count > self.limits.tasks_per_job {
-            let allowed = self.limits.tasks_per_job as u64;
-            let details = LimitDetails::new(LimitName::TasksPerJob, allowed, count as u64);
+        let allowed = self.limits.tasks_per_job as u64;
+        if count > allowed {
+            let details = LimitDetails::new(LimitName::TasksPerJob, allowed, count);
             return Err(JobError::new(ErrorKind::JobTooLarge, details));
         }
         let is_known_kind = |name| spec.requests.contains_key(name);
-        if !request.tasks.iter().all(|task| is_known_kind(&task.request_name)) {
+        if !request.task_groups.iter().all(|group| is_known_kind(&group.task.request_name)) {
             return Err(JobError::plain(ErrorKind::UnknownRequest));
         }
         let deadline = request.deadline.unwrap_or(spec.default_deadline);
@@ -166,8 +166,8 @@
         let offering = self.directory.offering(&request.service).iter();
         let capacities =
             offering.filter_map(|&index| Some(self.directory.get(index)?.latest_report().capacity));
-        for task in &request.tasks {
-            let (demand, _) = spec.demand(task);
+        for group in &request.task_groups {
+            let (demand, _) = spec.demand(&group.task);
             // Usually the first server is large enough, so this ends early.
             if capacities
                 .clone()
@@ -184,12 +184,12 @@
     }
 
     fn check_open_tasks(&self, request: &JobRequest, _now: Moment) -> Result<(), JobError> {
-        let open_tasks = self.open_tasks + request.tasks.len();
-        if open_tasks <= self.limits.max_open_tasks {
+        let open_tasks = (self.open_tasks as u64).saturating_add(request.task_count());
+        let allowed = self.limits.max_open_tasks as u64;
+        if open_tasks <= allowed {
             return Ok(());
         }
-        let allowed = self.limits.max_open_tasks as u64;
-        let details = LimitDetails::new(LimitName::TasksHeld, allowed, open_tasks as u64);
+        let details = LimitDetails::new(LimitName::TasksHeld, allowed, open_tasks);
         Err(JobError::new(ErrorKind::Overloaded, details))
     }
 
@@ -198,8 +198,7 @@
             return Ok(());
         };
         let local = self.team_load.get(&request.team).copied().unwrap_or(0);
-        let requested =
-            local.saturating_add(u32::try_from(request.tasks.len()).unwrap_or(u32::MAX));
+        let requested = local.saturating_add(saturated(request.task_count()));
         let remote: u32 =
             self.peer_loads.values().filter_map(|load| load.teams.get(&request.team)).sum();
         let share = quota.tasks_in_flight / self.entry_count();
@@ -221,7 +220,7 @@
         now: Moment,
     ) {
         let Some(spec) = self.ledger.configuration().services.get(&request.service) else { return };
-        let digest = claim.map_or(0, |_| content_digest(&request.tasks));
+        let digest = claim.map_or(0, |_| content_digest(&request.task_groups));
         let mut job = ActiveJob::new(id, waiter_id, request, spec, now.elapsed);
         job.wait_limits = self.wait_limits(&job);
         let size_penalty = self.limits.task_queue_penalty * job.task_count();
@@ -287,7 +286,7 @@
             job: request.name.clone(),
             team: request.team.clone(),
             service: request.service.clone(),
-            tasks: u32::try_from(request.tasks.len()).unwrap_or(u32::MAX),
+            tasks: saturated(request.task_count()),
         };
         self.send_refusal(waiter_id, subject, error, now);
     }
@@ -326,7 +325,12 @@
 
 pub(super) fn is_idempotent(spec: &ServiceSpec, request: &JobRequest) -> bool {
     let is_kind_idempotent = |name| spec.requests.get(name).is_some_and(|rule| rule.idempotent);
-    request.tasks.iter().all(|task| is_kind_idempotent(&task.request_name))
+    request.task_groups.iter().all(|group| is_kind_idempotent(&group.task.request_name))
+}
+
+/// `count` in the integer type of the records, at most its largest value.
+pub(super) fn saturated(count: u64) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
 }
 
 pub(super) fn millis(duration: Duration) -> u64 {
--- a/crates/core/src/entry/estimate.rs
+++ b/crates/core/src/entry/estimate.rs
@@ -1,10 +1,10 @@
 //! Completion time estimates: whether a job can finish before its deadline.
 
 use super::EntryMachine;
-use super::admission::{find_spec, millis};
+use super::admission::{find_spec, millis, saturated};
 use crate::config::ServiceSpec;
 use crate::error::{ErrorKind, JobError, LimitDetails, LimitName};
-use crate::job::JobRequest;
+use crate::job::{JobRequest, TaskGroup};
 use crate::time::Moment;
 use std::time::Duration;
 
@@ -50,13 +50,14 @@
     ) -> Duration {
         let mut work = Duration::ZERO;
         let mut longest = Duration::ZERO;
-        for task in &request.tasks {
+        for TaskGroup { task, count } in &request.task_groups {
             let (demand, declared) = spec.demand(task);
             let run_time = self.run_times.expected(&request.service, &task.request_name, declared);
-            work = work.saturating_add(run_time.saturating_mul(demand.slots.max(1)));
+            let task_work = run_time.saturating_mul(demand.slots.max(1));
+            work = work.saturating_add(task_work.saturating_mul(saturated(*count)));
             longest = longest.max(run_time);
         }
-        let count = u32::try_from(request.tasks.len()).unwrap_or(u32::MAX).max(1);
+        let count = saturated(request.task_count()).max(1);
         let mean =
             if capacity.mean_run_time.is_zero() { work / count } else { capacity.mean_run_time };
         let wait = mean.saturating_mul(self.open_tasks_of(&request.team));
--- a/crates/core/src/entry/idempotency.rs
+++ b/crates/core/src/entry/idempotency.rs
@@ -46,7 +46,7 @@
         key: ClaimKey,
         request: &JobRequest,
     ) -> Option<AdmissionDecision> {
-        let digest = content_digest(&request.tasks);
+        let digest = content_digest(&request.task_groups);
         if let Some(cached) = self.cached_answers.get(&key) {
             let answer = AdmissionDecision::AnswerFromCache(key);
             return Some(if cached.digest == digest { answer } else { Self::key_reuse_refusal() });
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -11,6 +11,7 @@
 use crate::lifecycle::{JobEvent, JobState, LifecycleCharts, TaskEvent, TaskState};
 use crate::resources::ResourceAmounts;
 use bytes::Bytes;
+use std::iter::repeat_n;
 use std::time::Duration;
 
 /// Task as submitted by the caller.
@@ -33,6 +34,31 @@
     pub run_time: Duration,
 }
 
+/// Equal tasks of a job. They are held once, however many the caller states, until the job is
+/// admitted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TaskGroup {
+    /// Task that is repeated.
+    pub task: TaskRequest,
+    /// Number of tasks, as stated by the caller.
+    pub count: u64,
+}
+
+impl From<TaskRequest> for TaskGroup {
+    /// Group of one task.
+    fn from(task: TaskRequest) -> Self {
+        Self { task, count: 1 }
+    }
+}
+
+impl TaskGroup {
+    /// The tasks one by one.
+    fn into_tasks(self) -> impl Iterator<Item = TaskRequest> {
+        let count = usize::try_from(self.count).unwrap_or(usize::MAX);
+        repeat_n(self.task, count)
+    }
+}
+
 /// Job as submitted by the caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JobRequest {
@@ -49,7 +75,14 @@
     /// non-idempotent requests.
     pub created_at: Option<Duration>,
     /// Tasks, in the order of their answers.
-    pub tasks: Vec<TaskRequest>,
+    pub task_groups: Vec<TaskGroup>,
+}
+
+impl JobRequest {
+    /// Number of tasks that the caller states; `u64::MAX` if there are more.
+    pub fn task_count(&self) -> u64 {
+        self.task_groups.iter().fold(0, |sum, group| sum.saturating_add(group.count))
+    }
 }
 
 /// Answer to a job.
@@ -217,7 +250,7 @@
 
 impl ActiveJob {
     /// Creates a job that arrived at `now`; `waiter_id` identifies the caller that waits for the
-    /// answer.
+    /// answer. The number of tasks must have been checked, since each takes memory from here on.
     pub fn new(
         id: SubmissionId,
         waiter_id: u64,
@@ -226,7 +259,8 @@
         now: Duration,
     ) -> Self {
         let deadline_at = now + request.deadline.unwrap_or(spec.default_deadline);
-        let rules = request.tasks.iter().filter_map(|task| spec.requests.get(&task.request_name));
+        let groups = request.task_groups.iter();
+        let rules = groups.filter_map(|group| spec.requests.get(&group.task.request_name));
         let max_failures = rules.map(|rule| rule.max_failures).min().unwrap_or(1);
         Self {
             max_failures,
@@ -243,7 +277,12 @@
             priority_class: PriorityClass::OnTime,
             claim: None,
             digest: 0,
-            tasks: request.tasks.into_iter().map(|task| ActiveTask::new(task, spec)).collect(),
+            tasks: request
+                .task_groups
+                .into_iter()
+                .flat_map(TaskGroup::into_tasks)
+                .map(|task| ActiveTask::new(task, spec))
+                .collect(),
             state: LifecycleCharts::shared().job.initial(),
             answer_count: 0,
         }
--- a/crates/core/tests/entry/fixtures.rs
+++ b/crates/core/tests/entry/fixtures.rs
@@ -8,7 +8,7 @@
 use parsleyspool_core::entry::{
     EntryAction, EntryEvent, EntryIdentity, EntryLimits, EntryMachine, StartId,
 };
-use parsleyspool_core::job::{JobRequest, TaskDemand, TaskRequest};
+use parsleyspool_core::job::{JobRequest, TaskDemand, TaskGroup, TaskRequest};
 use parsleyspool_core::resources::ResourceAmounts;
 use parsleyspool_core::time::Moment;
 use std::collections::BTreeMap;
@@ -79,6 +79,16 @@
     waiter_id: u64,
     tasks: Vec<TaskRequest>,
     now_ms: u64,
+) -> Vec<EntryAction> {
+    submit_groups(machine, waiter_id, tasks.into_iter().map(TaskGroup::from).collect(), now_ms)
+}
+
+/// Submits a job of these groups of tasks.
+pub fn submit_groups(
+    machine: &mut EntryMachine,
+    waiter_id: u64,
+    task_groups: Vec<TaskGroup>,
+    now_ms: u64,
 ) -> Vec<EntryAction> {
     let request = JobRequest {
         name: format!("j-{waiter_id}").into(),
@@ -86,7 +96,7 @@
         service: "s".into(),
         deadline: None,
         created_at: None,
-        tasks,
+        task_groups,
     };
     machine.handle(EntryEvent::Submit { waiter_id, request }, at(now_ms))
 }
--- a/crates/core/tests/explore/cluster.rs
+++ b/crates/core/tests/explore/cluster.rs
@@ -27,7 +27,7 @@
     StartRequest, StreamRead, TaskReply,
 };
 use parsleyspool_core::id::TaskId;
-use parsleyspool_core::job::{JobAnswer, JobRequest, TaskRequest};
+use parsleyspool_core::job::{JobAnswer, JobRequest, TaskGroup, TaskRequest};
 use parsleyspool_core::resources::ResourceAmounts;
 use parsleyspool_core::time::{HybridClock, Moment};
 use parsleyspool_core::timeline::{EventField, EventKind, TimelineEvent};
--- a/crates/core/tests/explore/cluster/callers.rs
+++ b/crates/core/tests/explore/cluster/callers.rs
@@ -20,7 +20,7 @@
             service: "s".into(),
             deadline: Some(Duration::from_millis(2000 + 20 * u64::from(job))),
             created_at: Some(WALL_CLOCK_AT_ZERO),
-            tasks: (0..tasks).map(task).collect(),
+            task_groups: (0..tasks).map(task).map(TaskGroup::from).collect(),
         };
         self.open_waiters.push((entry, waiter_id));
         self.handle_entry_event(entry, EntryEvent::Submit { waiter_id, request });
--- a/crates/core/tests/session/harness.rs
+++ b/crates/core/tests/session/harness.rs
@@ -17,7 +17,7 @@
     NotStartedReason, StartId, StreamRead, TaskReply,
 };
 use parsleyspool_core::id::{TaskName, submission_id};
-use parsleyspool_core::job::{JobRequest, TaskRequest};
+use parsleyspool_core::job::{JobRequest, TaskGroup, TaskRequest};
 use parsleyspool_core::resources::ResourceAmounts;
 use parsleyspool_core::time::Moment;
 use std::collections::BTreeMap;
@@ -197,7 +197,7 @@
             service: "s".into(),
             deadline: None,
             created_at: Some(WALL_CLOCK_AT_ZERO),
-            tasks: (0..tasks).map(task).collect(),
+            task_groups: (0..tasks).map(task).map(TaskGroup::from).collect(),
         };
         let title = format!("submit waiter={waiter_id} request={request} tasks={tasks}");
         self.send(&title, EntryEvent::Submit { waiter_id, request: job });
--- a/crates/standins/src/cost.rs
+++ b/crates/standins/src/cost.rs
@@ -167,7 +167,7 @@
             service: service_name(team).into(),
             deadline: None,
             created_at: None,
-            tasks: (0..tasks).map(|_| task()).collect(),
+            task_groups: (0..tasks).map(|_| task().into()).collect(),
         };
         let mut pending = self.handle_event(EntryEvent::Submit { waiter_id, request });
         while let Some(action) = pending.pop() {
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use parsleyspool_core::error::{ErrorKind, JobError, Resubmission};
 use parsleyspool_core::id::{SubmissionId, Version, format_id};
-use parsleyspool_core::job::{JobRequest, TaskRequest};
+use parsleyspool_core::job::{JobRequest, TaskGroup, TaskRequest};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -71,7 +71,7 @@
             service: body.service.into(),
             deadline: body.deadline_ms.map(Duration::from_millis),
             created_at: body.created_at_ms.map(Duration::from_millis),
-            tasks: body.tasks.into_iter().map(task).collect(),
+            task_groups: body.tasks.into_iter().map(task).map(TaskGroup::from).collect(),
         })
     }
 }
