Refuse a task whose slots overflow the sum at a server

A server that states a capacity near 2^32 and a caller whose tasks need as much made the sums of slots overflow, at the entry (own load, expected load) and at the agent (load, queue, stuck runs). In a debug build that ends the process; in a release build the sum wraps, and the server is sent more than it holds, or refuses everything.

A task is now sent or accepted only if the sum with it can be represented; sums that are only reported saturate.

Seen to fail before: any_numbers_of_callers_leave_the_entry_at_work ("attempt to add with overflow", two tasks of 4,294,967,292 slots at a server of as many), a_server_of_the_largest_capacity_runs_tasks_until_it_is_full (the same in AgentMachine::admission_slots).

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -160,11 +160,16 @@
     /// Load to report to `entry`, in slots: of all tasks, and of the tasks from `entry`.
     pub fn load_for(&self, entry: &str) -> LoadReport {
         LoadReport {
-            load: self.used_capacity.slots + self.queued_slots,
+            load: self.load_slots(),
             own_load: self.slots_by_entry.get(entry).copied().unwrap_or(0),
         }
     }
 
+    /// Slots of running and queued tasks.
+    pub(super) fn load_slots(&self) -> u32 {
+        self.used_capacity.slots.saturating_add(self.queued_slots)
+    }
+
     /// Capacity of the backend server for tasks that run at the same time.
     pub fn capacity(&self) -> ResourceAmounts {
         self.limits.capacity
--- a/crates/core/src/agent/capacity.rs
+++ b/crates/core/src/agent/capacity.rs
@@ -15,13 +15,14 @@
         let live_slots = u64::from(total_slots.saturating_sub(self.stuck_slots));
         let queue_slots =
             u64::from(self.limits.queue_slots) * live_slots / u64::from(total_slots.max(1));
-        total_slots + u32::try_from(queue_slots).unwrap_or(u32::MAX)
+        total_slots.saturating_add(u32::try_from(queue_slots).unwrap_or(u32::MAX))
     }
 
     pub(super) fn update_stuck_slots(&mut self, now: Moment) {
         let running = self.tasks.values().filter(|accepted| accepted.started_at.is_some());
         let stuck = running.filter(|accepted| now.elapsed >= accepted.request.start_before);
-        self.stuck_slots = stuck.map(|accepted| accepted.request.demand.slots).sum();
+        let slots = stuck.map(|accepted| accepted.request.demand.slots);
+        self.stuck_slots = slots.fold(0, u32::saturating_add);
     }
 
     /// Whether stuck runs occupy all slots, so that no queued task can start before one of them
@@ -34,8 +35,7 @@
     pub(super) fn record_refused(&mut self, request: &StartRequest, reason: NotStartedReason) {
         let mut fields = vec![EventField::Why(reason)];
         if reason == NotStartedReason::Full {
-            let load = self.used_capacity.slots + self.queued_slots;
-            fields.push(EventField::Load(load.into()));
+            fields.push(EventField::Load(self.load_slots().into()));
             fields.push(EventField::Demand(request.demand.slots.into()));
             fields.push(EventField::LoadLimit(self.admission_slots().into()));
         }
--- a/crates/core/src/agent/start_check.rs
+++ b/crates/core/src/agent/start_check.rs
@@ -32,9 +32,9 @@
         if now.elapsed >= request.permit_until || request.permit_until > latest_permit_end {
             return Some(NotStartedReason::PermitLapsed);
         }
-        let is_full = self.used_capacity.slots + self.queued_slots + request.demand.slots
-            > self.admission_slots()
-            || self.outcomes.is_full();
+        let load = self.load_slots().checked_add(request.demand.slots);
+        let is_admitted = load.is_some_and(|load| load <= self.admission_slots());
+        let is_full = !is_admitted || self.outcomes.is_full();
         is_full.then_some(NotStartedReason::Full)
     }
 
--- a/crates/core/src/directory/server.rs
+++ b/crates/core/src/directory/server.rs
@@ -239,7 +239,7 @@
     /// reserved for tasks of this entry.
     pub fn load(&self) -> u32 {
         let others = self.report.load.saturating_sub(self.report.own_load);
-        others + self.own_load
+        others.saturating_add(self.own_load)
     }
 
     /// Load in slots that [`Self::load`] and the other entries are expected to add up to, if
@@ -288,7 +288,7 @@
 
     /// Reserves `slots` for a task sent by this entry.
     pub fn reserve(&mut self, slots: u32) {
-        self.own_load += slots;
+        self.own_load = self.own_load.saturating_add(slots);
     }
 
     /// Releases the slots of a task that ended or did not start.
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -213,12 +213,12 @@
         let ramped = self.ramped_slots(server.domain(), total, now);
         let allowed = ramped.saturating_add(self.limits.prefetch_slots);
         let share = (ramped / self.entry_count()).max(ramped.min(1));
-        let is_within_share = server.own_load() + slots <= share;
+        let is_within_share = server.own_load().checked_add(slots).is_some_and(|own| own <= share);
         let load = match contention {
             Contention::Alone => server.load(),
             Contention::Shared => server.expected_load(self.entry_count()),
         };
-        let load = load.saturating_add(slots);
+        let Some(load) = load.checked_add(slots) else { return false };
         load <= server.latest_report().load_limit && (load <= allowed.max(slots) || is_within_share)
     }
 
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! Tests of an entry under load patterns and faults, one module each.
 
 mod backlog;
+mod caller_numbers;
 mod extreme_numbers;
 mod fixtures;
 mod lost_cancellation;
