Limit the answers to a daemon's requests while they are read

A server, a store or another daemon could make a process hold as much memory as its answer states: bodies were read completely, and compared with a limit afterwards or not at all. And a list of runs whose body stalls kept its poll open for ever: the time limit of the call covered the head of the answer only, so no other poll took its place.

read_answer reads the body of every answer, stops at a size, and gives up if a part of it is overdue.

--- a/crates/daemon/src/backend_client.rs
+++ b/crates/daemon/src/backend_client.rs
@@ -4,6 +4,7 @@
 //! answer. If no connection can be opened, the task is known not to have started; every other
 //! outcome is a failure of a task that may have run.
 
+use crate::answer::read_answer;
 use crate::error::DaemonError;
 use crate::interfaces::BackendServer;
 use error_stack::{Report, ResultExt};
@@ -25,6 +26,7 @@
 pub struct BackendClient {
     client: Client,
     base_url: String,
+    timeout: Duration,
     max_answer_bytes: usize,
 }
 
@@ -51,7 +53,8 @@
             .tcp_nodelay(true)
             .build()
             .change_context(DaemonError::Client)?;
-        Ok(Self { client, base_url: base_url.trim_end_matches('/').to_owned(), max_answer_bytes })
+        let base_url = base_url.trim_end_matches('/').to_owned();
+        Ok(Self { client, base_url, timeout, max_answer_bytes })
     }
 
     async fn send_task(&self, start_request: StartRequest) -> RunResult {
@@ -61,20 +64,17 @@
         let request = self.client.post(url).header("x-submission", submission);
         let request =
             request.header("x-task", start_request.task.index).body(start_request.payload);
-        let mut response = match request.send().await {
+        let response = match request.send().await {
             Ok(response) if response.status().is_success() => response,
             Ok(_) => return RunResult::Failed,
             Err(error) if error.is_connect() => return RunResult::NoConnection,
             Err(_) => return RunResult::Failed,
         };
-        let mut body = Vec::new();
-        loop {
-            match response.chunk().await {
-                Ok(Some(chunk)) if body.len() + chunk.len() <= self.max_answer_bytes => {
-                    body.extend_from_slice(&chunk);
-                }
-                Ok(None) => return RunResult::Answered(body.into()),
-                _ => return RunResult::Failed,
+        match read_answer(response, self.max_answer_bytes, self.timeout).await {
+            Ok(body) => RunResult::Answered(body),
+            Err(error) => {
+                tracing::debug!(event = "answer_unreadable", %error);
+                RunResult::Failed
             }
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 //! server. Both reach everything external through the traits of [`interfaces`].
 
 pub mod agent;
+pub mod answer;
 pub mod backend_client;
 pub mod clock;
 pub mod components;
--- a/crates/daemon/src/log_client.rs
+++ b/crates/daemon/src/log_client.rs
@@ -1,5 +1,6 @@
 //! HTTP client for the platform's log.
 
+use crate::answer::read_answer;
 use crate::error::DaemonError;
 use crate::http::build_client;
 use crate::interfaces::{LogPage, LogStore};
@@ -61,7 +62,8 @@
         if !status.is_success() {
             return Err(Report::new(DaemonError::Log).attach(format!("status {status}")));
         }
-        response.bytes().await.change_context(DaemonError::Log)
+        let answer = read_answer(response, MAX_REPLY_BYTES, self.timeout).await;
+        answer.change_context(DaemonError::Log)
     }
 }
 
--- a/crates/daemon/src/peer_client.rs
+++ b/crates/daemon/src/peer_client.rs
@@ -6,6 +6,7 @@
 //! stall permanently while new connections work. After a request to a peer fails, all messages to
 //! that peer use new connections until the pool has dropped its idle ones and the peer has answered.
 
+use crate::answer::read_answer;
 use crate::error::DaemonError;
 use crate::http::{MESSAGE_MEDIA_TYPE, classify_failure};
 use crate::interfaces::{AgentClient, EntryClient};
@@ -134,7 +135,11 @@
         let request =
             request.header("content-type", MESSAGE_MEDIA_TYPE).timeout(timeout).body(body);
         let response = request.send().await.map_err(|error| classify_failure(&error))?;
-        let bytes = response.bytes().await.map_err(|_| ExchangeFailure::MaybeSent)?;
+        let bytes = read_answer(response, MAX_MESSAGE_BYTES, timeout).await;
+        let bytes = bytes.map_err(|error| {
+            tracing::debug!(event = "answer_unreadable", %address, %error);
+            ExchangeFailure::MaybeSent
+        })?;
         let answer: Envelope<A> =
             decode(&bytes, MAX_MESSAGE_BYTES).map_err(|_| ExchangeFailure::MaybeSent)?;
         self.recorder.observe(answer.stamp());
