Let no run time estimate refuse the only jobs that could correct it

Cause: admission refused a job by the average run time of its kind, and what is refused gives no sample. Ruled out by the log line: the wait behind other tasks (there are none) and missing servers (11 known, and another kind of refusal).

A job is now refused only if two estimates exceed its deadline: the mean of its kind, and its own declared time corrected by the usual error of such declarations. Both count for 10 s after the latest run. The next job that would be refused is admitted as a probe, one of a kind at a time; its first run replaces the averages, and a probe that is not answered in time delays the next by 1, 2, then 4 s. Averages start from the first measured run. The work of many tasks is estimated by the mean as before. A refusal's line names the estimate, its source, samples and age; estimate_tested and estimate_refuted report the probes. Run times of kinds of request that the configuration no longer has are dropped.

Why it works: every refusal by an estimate is either confirmed by a run or probe of the last seconds, or is itself the probe.

Seen to fail before, five of the six tests of wrong_estimates: after one far too long declaration 1 of 61 jobs served; after one true long job 1 of 61; after a spell of slow servers 0 of 60; always declared too long 0 of 60; of jobs that cannot be served in time and declare too little, 485 of 600 refused at once (now 584 at least). The sixth, for jobs that declare the truth, holds before and after.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -181,6 +181,11 @@
         self.domains.get(domain) != Some(&DomainAvailability::OutOfService)
     }
 
+    /// Whether `service` declares this kind of request.
+    pub fn has_request(&self, service: &str, request: &str) -> bool {
+        self.services.get(service).is_some_and(|spec| spec.requests.contains_key(request))
+    }
+
     /// Whether operators have ordered `server` to leave.
     pub fn is_leaving(&self, server: &str) -> bool {
         self.leaving.contains(server)
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -7,12 +7,13 @@
 //! succeeds.
 
 mod loss_history;
+mod moving_average;
 mod run_times;
 mod sample;
 mod server;
 
 pub use loss_history::LossHistory;
-pub use run_times::RunTimes;
+pub use run_times::{EstimateSource, RunSample, RunTimeEstimate, RunTimes};
 pub use sample::ServerSample;
 pub use server::{QuarantinePolicy, ServerRecord, ServerReport};
 
--- a/crates/core/src/directory/server.rs
+++ b/crates/core/src/directory/server.rs
@@ -1,6 +1,7 @@
 //! Record of one backend server: latest report, state, load, slowdown and quarantine.
 
-use super::run_times::{MAX_SLOWDOWN, MIN_SLOWDOWN, MovingAverage};
+use super::moving_average::MovingAverage;
+use super::run_times::{MAX_EVIDENCE_AGE, MAX_SLOWDOWN, MIN_SLOWDOWN};
 use crate::entry::LoadReport;
 use crate::id::{
     DomainName, Incarnation, PeerAddress, ServerName, ServiceName, SubmissionId, TaskName, Version,
@@ -95,6 +96,8 @@
     failures_in_row: u32,
     slowdown: MovingAverage,
     mean_run_time: MovingAverage,
+    /// When the latest task was answered.
+    answered_at: Duration,
     quarantine_time: Duration,
     quarantined_until: Duration,
 }
@@ -114,7 +117,8 @@
             results: 0,
             failures_in_row: 0,
             slowdown: MovingAverage::new(1.0),
-            mean_run_time: MovingAverage::new(0.0),
+            mean_run_time: MovingAverage::unmeasured(),
+            answered_at: Duration::ZERO,
             quarantine_time: Duration::ZERO,
             quarantined_until: Duration::ZERO,
         };
@@ -270,6 +274,12 @@
         Duration::from_secs_f64(self.mean_run_time.value().max(0.0))
     }
 
+    /// The same, if a task was answered recently enough for it to be evidence at `now`.
+    pub fn recent_run_time(&self, now: Duration) -> Option<Duration> {
+        let is_recent = now < self.answered_at + MAX_EVIDENCE_AGE;
+        (is_recent && !self.mean_run_time.is_unmeasured()).then(|| self.mean_run_time())
+    }
+
     /// Lower bound of the agent's clock when this entry's clock shows `at`.
     pub fn agent_time(&self, at: Duration) -> Duration {
         let ahead = at.saturating_sub(self.last_heartbeat);
@@ -296,13 +306,11 @@
         self.own_load = self.own_load.saturating_sub(slots);
     }
 
-    /// Records a task that was answered; releases a probed server from quarantine.
-    pub fn record_success(&mut self, slowdown_sample: f64, run_time: Duration) {
+    /// Records a task that was answered at `now`; releases a probed server from quarantine.
+    pub fn record_success(&mut self, slowdown_sample: f64, run_time: Duration, now: Duration) {
         self.slowdown.record(slowdown_sample.clamp(MIN_SLOWDOWN, MAX_SLOWDOWN));
-        if self.mean_run_time.value() == 0.0 {
-            self.mean_run_time = MovingAverage::new(run_time.as_secs_f64());
-        }
         self.mean_run_time.record(run_time.as_secs_f64());
+        self.answered_at = now;
         self.results = self.results.saturating_add(1);
         self.failure_share.record(0.0);
         self.failures_in_row = 0;
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -12,7 +12,7 @@
 //! * a non-idempotent request is sent only after its claim was read back from the log.
 //!
 //! One submodule handles each step of a job: `admission` and `idempotency` decide whether it is
-//! accepted, `estimate` whether it can meet its deadline, `priority` and `load_shedding` what
+//! accepted, `estimate` whether it can meet its deadline, `deadline_probe` which job tests that, `priority` and `load_shedding` what
 //! happens while it waits, `dispatch` places and retries its tasks, `outcome` handles the replies
 //! of agents, `crash_limit` gives up tasks that crash their servers, and `completion` answers the
 //! job; `refusal_event` records why a job or a task was turned away. `resume` holds back starts after
@@ -25,6 +25,7 @@
 mod completion;
 mod control_plane;
 mod crash_limit;
+mod deadline_probe;
 mod dispatch;
 mod estimate;
 mod event;
@@ -40,6 +41,7 @@
 mod resume;
 
 pub use action::EntryAction;
+pub use deadline_probe::RequestKind;
 pub use event::{EntryEvent, ExchangeFailure, StreamRead};
 pub use gauges::EntryGauges;
 pub use limits::EntryLimits;
@@ -65,6 +67,7 @@
 use crate::time::Moment;
 use crate::timeline::{EventField, EventKind, TimelineEvent};
 use append_limiter::AppendLimiter;
+use deadline_probe::DeadlineProbes;
 use load_shedding::LoadShedder;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -152,6 +155,7 @@
     /// Times after which waiting jobs are reclassified.
     reclassify_times: BTreeSet<(Duration, SubmissionId)>,
     load_shedder: LoadShedder,
+    deadline_probes: DeadlineProbes,
     /// Times of the next status query about each sent task.
     status_queries: BTreeSet<(Duration, TaskId)>,
     cached_answers: HashMap<ClaimKey, CachedAnswer>,
@@ -204,6 +208,7 @@
             claim_deadlines: BTreeSet::new(),
             reclassify_times: BTreeSet::new(),
             load_shedder: LoadShedder::default(),
+            deadline_probes: DeadlineProbes::default(),
             status_queries: BTreeSet::new(),
             cached_answers: HashMap::new(),
             team_load: HashMap::new(),
--- a/crates/core/src/entry/admission.rs
+++ b/crates/core/src/entry/admission.rs
@@ -1,5 +1,6 @@
 //! Admission: checks a submitted job and accepts, joins, answers or refuses it.
 
+use super::estimate::{CompletionEstimate, DeadlineDecision};
 use super::{EntryAction, EntryMachine, EntryPhase, RefusalSubject};
 use crate::claim::{ClaimKey, ClaimStep, content_digest};
 use crate::config::{Configuration, ServiceSpec};
@@ -14,16 +15,25 @@
 
 /// How to handle a submitted job.
 pub(super) enum AdmissionDecision {
-    /// Accept the job and queue its tasks.
-    Admit,
-    /// Accept the job, and queue its tasks once the claim of its idempotency key is confirmed.
-    Claim(ClaimKey),
+    /// Accept the job.
+    Admit(JobAdmission),
     /// Attach the caller to the submission that already runs the job.
     Join(SubmissionId),
     /// Answer with the cached answer of an earlier submission.
     AnswerFromCache(ClaimKey),
     /// Refuse the job.
     Refuse(JobError),
+    /// Refuse the job, which would miss its deadline by this estimate.
+    RefuseByEstimate(CompletionEstimate),
+}
+
+/// How an accepted job is handled.
+#[derive(Debug, Default)]
+pub(super) struct JobAdmission {
+    /// Idempotency key whose claim must be confirmed before the tasks are queued.
+    claim: Option<ClaimKey>,
+    /// Estimate that the job tests.
+    probe: Option<CompletionEstimate>,
 }
 
 /// How far the clock of a caller may be ahead of the clock of the entry.
@@ -33,13 +43,17 @@
     pub(super) fn submit(&mut self, waiter_id: u64, request: JobRequest, now: Moment) {
         let id = self.next_submission_id();
         match self.evaluate_admission(&request, now) {
-            AdmissionDecision::Admit => self.admit_job(id, waiter_id, request, None, now),
-            AdmissionDecision::Claim(key) => self.admit_job(id, waiter_id, request, Some(key), now),
+            AdmissionDecision::Admit(admission) => {
+                self.admit_job(id, waiter_id, request, admission, now);
+            }
             AdmissionDecision::Join(running) => self.join_submission(waiter_id, running),
             AdmissionDecision::AnswerFromCache(key) => self.answer_from_cache(waiter_id, key),
             AdmissionDecision::Refuse(error) => {
-                let error = self.clear_uncertain_not_run(&request, error, now);
-                self.refuse_request(id, waiter_id, &request, error, now);
+                self.refuse_request(id, waiter_id, &request, error, Vec::new(), now);
+            }
+            AdmissionDecision::RefuseByEstimate(estimate) => {
+                let (error, evidence) = (estimate.error(), estimate.fields());
+                self.refuse_request(id, waiter_id, &request, error, evidence, now);
             }
         }
     }
@@ -53,7 +67,7 @@
             service: "".into(),
             tasks: 0,
         };
-        self.send_refusal(waiter_id, subject, error, now);
+        self.send_refusal(waiter_id, subject, error, Vec::new(), now);
     }
 
     fn next_submission_id(&mut self) -> SubmissionId {
@@ -83,13 +97,23 @@
         if let Some(decision) = key.and_then(|key| self.resolve_claimed_key(key, request)) {
             return decision;
         }
-        let load_checks = [Self::check_open_tasks, Self::check_quota, Self::check_deadline];
+        let load_checks = [Self::check_open_tasks, Self::check_quota];
         for check in load_checks {
             if let Err(error) = check(self, request, now) {
                 return AdmissionDecision::Refuse(error);
             }
         }
-        key.map_or(AdmissionDecision::Admit, AdmissionDecision::Claim)
+        let admission = JobAdmission { claim: key, probe: None };
+        match self.evaluate_deadline(request, now) {
+            DeadlineDecision::Reachable => AdmissionDecision::Admit(admission),
+            DeadlineDecision::Probe(estimate) => {
+                AdmissionDecision::Admit(JobAdmission { probe: Some(estimate), ..admission })
+            }
+            DeadlineDecision::Unreachable(estimate) => {
+                AdmissionDecision::RefuseByEstimate(estimate)
+            }
+            DeadlineDecision::Impossible(error) => AdmissionDecision::Refuse(error),
+        }
     }
 
     fn check_phase(&self, _request: &JobRequest, _now: Moment) -> Result<(), JobError> {
@@ -216,9 +240,10 @@
         id: SubmissionId,
         waiter_id: u64,
         request: JobRequest,
-        claim: Option<ClaimKey>,
+        admission: JobAdmission,
         now: Moment,
     ) {
+        let JobAdmission { claim, probe } = admission;
         let Some(spec) = self.ledger.configuration().services.get(&request.service) else { return };
         let digest = claim.map_or(0, |_| content_digest(&request.task_groups));
         let mut job = ActiveJob::new(id, waiter_id, request, spec, now.elapsed);
@@ -227,6 +252,7 @@
         job.queue_penalty = job.wait_limits.map_or(size_penalty, |limits| limits.slack);
         job.claim = claim;
         job.digest = digest;
+        job.probed_kind = probe.as_ref().map(|estimate| estimate.kind.clone());
         self.open_tasks += job.tasks.len();
         *self.team_load.entry(job.team.clone()).or_insert(0) += job.task_count();
         self.waiters.insert(waiter_id, id);
@@ -234,6 +260,9 @@
         let admitted = TimelineEvent::new(EventKind::JobAdmitted).submission(id);
         let admitted = admitted.subject(&job.name).field(EventField::Tasks(job.tasks.len() as u64));
         self.record_event(admitted);
+        if let Some(estimate) = &probe {
+            self.begin_probe(id, estimate);
+        }
         match claim {
             None => {
                 job.advance(JobEvent::Admit);
@@ -279,8 +308,10 @@
         waiter_id: u64,
         request: &JobRequest,
         error: JobError,
+        evidence: Vec<EventField>,
         now: Moment,
     ) {
+        let error = self.clear_uncertain_not_run(request, error, now);
         let subject = RefusalSubject {
             submission: id,
             job: request.name.clone(),
@@ -288,18 +319,21 @@
             service: request.service.clone(),
             tasks: saturated(request.task_count()),
         };
-        self.send_refusal(waiter_id, subject, error, now);
+        self.send_refusal(waiter_id, subject, error, evidence, now);
     }
 
+    /// Answers a refused job; `evidence` is what the refusal is based on.
     fn send_refusal(
         &mut self,
         waiter_id: u64,
         subject: RefusalSubject,
         error: JobError,
+        evidence: Vec<EventField>,
         now: Moment,
     ) {
         let submission = subject.submission;
         let refused = TimelineEvent::new(EventKind::JobRefused).submission(submission);
+        let refused = evidence.into_iter().fold(refused, TimelineEvent::field);
         let refused = refused.subject(&subject.job);
         self.record_job_error(refused, &subject.service, &error, now);
         self.record_refusal(subject, error.clone(), now);
--- a/crates/core/src/entry/completion.rs
+++ b/crates/core/src/entry/completion.rs
@@ -1,5 +1,6 @@
 //! Completion: answers a job, and releases its slots and its claim.
 
+use super::deadline_probe::ProbeResult;
 use super::{CachedAnswer, EntryAction, EntryMachine, RefusalSubject};
 use crate::claim::{ClaimKey, ClaimStep};
 use crate::error::{ErrorKind, JobError, LimitDetails, LimitName};
@@ -11,7 +12,8 @@
 
 impl EntryMachine {
     pub(super) fn complete_job(&mut self, id: SubmissionId, now: Moment) {
-        let Some(mut job) = self.remove_job(id) else { return };
+        self.refute_estimate(id, now);
+        let Some(mut job) = self.remove_job(id, now) else { return };
         job.advance(JobEvent::Finish);
         let Some(answers) = job.take_answers() else { return };
         let took_us = micros(now.elapsed.saturating_sub(job.arrived_at));
@@ -42,7 +44,7 @@
         details: LimitDetails,
         now: Moment,
     ) {
-        let Some(mut job) = self.remove_job(id) else { return };
+        let Some(mut job) = self.remove_job(id, now) else { return };
         let error = self.job_error(&job, kind, details, now);
         let job_event = if job.has_not_started() { JobEvent::Refuse } else { JobEvent::Fail };
         job.advance(job_event);
@@ -67,7 +69,7 @@
         if !job.waiters.is_empty() || has_claimed_run {
             return;
         }
-        let Some(mut job) = self.remove_job(id) else { return };
+        let Some(mut job) = self.remove_job(id, now) else { return };
         let error = self.job_error(&job, ErrorKind::Cancelled, LimitDetails::default(), now);
         job.advance(JobEvent::Cancel);
         let cancelled = TimelineEvent::new(EventKind::JobCancelled).submission(id);
@@ -106,8 +108,11 @@
         }
     }
 
-    pub(super) fn remove_job(&mut self, id: SubmissionId) -> Option<ActiveJob> {
+    pub(super) fn remove_job(&mut self, id: SubmissionId, now: Moment) -> Option<ActiveJob> {
         let job = self.jobs.remove(&id)?;
+        if let Some(kind) = &job.probed_kind {
+            self.deadline_probes.end(kind, id, ProbeResult::NotRefuted, now.elapsed);
+        }
         self.deadlines.remove(&(job.deadline_at, id));
         if let Some(at) = job.reclassify_at {
             self.reclassify_times.remove(&(at, id));
--- a/crates/core/src/entry/control_plane.rs
+++ b/crates/core/src/entry/control_plane.rs
@@ -75,7 +75,9 @@
         }
         self.record_config_events(before);
         let configuration = self.ledger.configuration();
-        self.run_times.retain(|service| configuration.services.contains_key(service));
+        let is_kept = |service: &str, request: &str| configuration.has_request(service, request);
+        self.run_times.retain(is_kept);
+        self.deadline_probes.retain(is_kept);
         self.dispatch_all(now);
     }
 
@@ -226,7 +228,7 @@
             self.fail_job(submission, ErrorKind::AlreadyClaimed, details, now);
             return;
         }
-        let Some(job) = self.remove_job(submission) else { return };
+        let Some(job) = self.remove_job(submission, now) else { return };
         for &waiter_id in &job.waiters {
             self.waiters.insert(waiter_id, holder);
         }
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -6,7 +6,7 @@
     EntryAction, EntryMachine, ExchangeFailure, InterruptCause, LoadReport, NotStartedReason,
     StartId, TaskReply,
 };
-use crate::directory::ServerRecord;
+use crate::directory::{RunSample, ServerRecord};
 use crate::error::{ErrorKind, LimitDetails, LimitName};
 use crate::id::{Incarnation, TaskId};
 use crate::job::ActiveJob;
@@ -158,7 +158,7 @@
         now: Moment,
     ) {
         self.release_slots(id, index);
-        self.record_run_time(id, index, run_time);
+        self.record_run_time(id, index, run_time, now);
         let Some(job) = self.jobs.get_mut(&id.submission) else { return };
         job.tasks[id.index as usize].advance(TaskEvent::Answer);
         let is_complete = job.store_answer(id.index as usize, answer);
@@ -170,14 +170,14 @@
         }
     }
 
-    fn record_run_time(&mut self, id: TaskId, index: usize, run_time: Duration) {
+    fn record_run_time(&mut self, id: TaskId, index: usize, run_time: Duration, now: Moment) {
         let Some(job) = self.jobs.get(&id.submission) else { return };
         let Some(server) = self.directory.get_mut(index) else { return };
         let request = &job.tasks[id.index as usize].request.request_name;
         let declared = job.tasks[id.index as usize].declared_run_time;
-        let slowdown = server.slowdown();
-        let sample = self.run_times.record(&job.service, request, declared, slowdown, run_time);
-        server.record_success(sample, run_time);
+        let sample = RunSample { declared, run_time, slowdown: server.slowdown() };
+        let slowdown = self.run_times.record(&job.service, request, sample, now.elapsed);
+        server.record_success(slowdown, run_time, now.elapsed);
     }
 
     fn handle_failed_run(&mut self, id: TaskId, index: usize, run_time: Duration, now: Moment) {
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -6,6 +6,7 @@
 
 use crate::claim::ClaimKey;
 use crate::config::ServiceSpec;
+use crate::entry::RequestKind;
 use crate::error::JobError;
 use crate::id::{Incarnation, JobName, RequestName, ServiceName, SubmissionId, TeamName};
 use crate::lifecycle::{JobEvent, JobState, LifecycleCharts, TaskEvent, TaskState};
@@ -241,6 +242,8 @@
     pub tasks: Vec<ActiveTask>,
     /// Wait limits, if all request kinds of the job have a latency objective.
     pub wait_limits: Option<WaitLimits>,
+    /// Kind of request whose run time estimate the job tests, if it was admitted for that.
+    pub probed_kind: Option<RequestKind>,
     /// Time at which the priority class is evaluated again.
     pub reclassify_at: Option<Duration>,
     priority_class: PriorityClass,
@@ -273,6 +276,7 @@
             deadline_at,
             queue_penalty: Duration::ZERO,
             wait_limits: None,
+            probed_kind: None,
             reclassify_at: None,
             priority_class: PriorityClass::OnTime,
             claim: None,
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -35,6 +35,11 @@
         JobAdmitted = "job_admitted",
         /// A submission was refused; none of its tasks ran.
         JobRefused = "job_refused",
+        /// A submission was admitted although it would miss its deadline by an estimate, to test the
+        /// estimate; the subject is its kind of request.
+        EstimateTested = "estimate_tested",
+        /// A submission that tests an estimate was answered in time.
+        EstimateRefuted = "estimate_refuted",
         /// A submission was answered with the results of all its tasks.
         JobComplete = "job_complete",
         /// A submission was answered with an error after a task started or may have started.
--- a/crates/core/src/timeline/field.rs
+++ b/crates/core/src/timeline/field.rs
@@ -2,6 +2,7 @@
 
 use crate::claim::ClaimKey;
 use crate::config::ConfigSource;
+use crate::directory::EstimateSource;
 use crate::entry::{InterruptCause, NotStartedReason};
 use crate::error::{ErrorKind, LimitName};
 use crate::id::{Offset, Version};
@@ -72,6 +73,16 @@
     Allowed(u64),
     /// Value that was compared with the limit.
     Actual(u64),
+    /// What the estimated run time of the longest task is based on.
+    Estimate(EstimateSource),
+    /// Estimated run time of the longest task, in milliseconds.
+    EstimateMs(u64),
+    /// Run time that the longest task declares, in milliseconds.
+    DeclaredMs(u64),
+    /// Measured runs that the estimate is based on.
+    Samples(u64),
+    /// Age of the latest of them, in milliseconds.
+    SampleAgeMs(u64),
     /// Number of servers to which a task may be sent, whether or not they have free capacity.
     Servers(u64),
     /// Slots of running and queued tasks at a server, as known to the process.
@@ -112,6 +123,11 @@
             Self::Limit(limit) => write!(f, "limit={limit}"),
             Self::Allowed(value) => write!(f, "allowed={value}"),
             Self::Actual(value) => write!(f, "actual={value}"),
+            Self::Estimate(source) => write!(f, "estimate={}", source.name()),
+            Self::EstimateMs(value) => write!(f, "estimate_ms={value}"),
+            Self::DeclaredMs(value) => write!(f, "declared_ms={value}"),
+            Self::Samples(value) => write!(f, "samples={value}"),
+            Self::SampleAgeMs(value) => write!(f, "sample_age_ms={value}"),
             Self::Servers(value) => write!(f, "servers={value}"),
             Self::Load(value) => write!(f, "load={value}"),
             Self::LoadLimit(value) => write!(f, "load_limit={value}"),
@@ -147,6 +163,11 @@
             "limit" => LimitName::from_name(value).map(Self::Limit),
             "allowed" => number().map(Self::Allowed),
             "actual" => number().map(Self::Actual),
+            "estimate" => EstimateSource::from_name(value).map(Self::Estimate),
+            "estimate_ms" => number().map(Self::EstimateMs),
+            "declared_ms" => number().map(Self::DeclaredMs),
+            "samples" => number().map(Self::Samples),
+            "sample_age_ms" => number().map(Self::SampleAgeMs),
             "servers" => number().map(Self::Servers),
             "load" => number().map(Self::Load),
             "load_limit" => number().map(Self::LoadLimit),
--- a/crates/core/tests/entry/fixtures.rs
+++ b/crates/core/tests/entry/fixtures.rs
@@ -90,15 +90,20 @@
     task_groups: Vec<TaskGroup>,
     now_ms: u64,
 ) -> Vec<EntryAction> {
-    let request = JobRequest {
+    let request = job_request(waiter_id, task_groups);
+    machine.handle(EntryEvent::Submit { waiter_id, request }, at(now_ms))
+}
+
+/// Job of this caller, without a deadline of its own.
+pub fn job_request(waiter_id: u64, task_groups: Vec<TaskGroup>) -> JobRequest {
+    JobRequest {
         name: format!("j-{waiter_id}").into(),
         team: "t".into(),
         service: "s".into(),
         deadline: None,
         created_at: None,
         task_groups,
-    };
-    machine.handle(EntryEvent::Submit { waiter_id, request }, at(now_ms))
+    }
 }
 
 pub fn report(sequence: u64, load: u32, own_load: u32) -> ServerReport {
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -4,6 +4,8 @@
 mod caller_numbers;
 mod extreme_numbers;
 mod fixtures;
+mod job_stream;
 mod lost_cancellation;
 mod resumption;
 mod run_leases;
+mod wrong_estimates;
