Probe quarantined servers at once if a service has no others

Tasks that fail wherever they run put one server after the other into quarantine, and once the last is in it, every job of the service is refused as no_server_in_service for 2 s, after a failed probe for 4 s, and up to a minute.

If no other server of a service is left, its quarantines end, at most once a second: each server takes one task as a probe and is released by its success. Servers being probed now count as capacity in admission; before, jobs that came while each had its probe were refused.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -75,8 +75,21 @@
     by_service: HashMap<ServiceName, Vec<usize>>,
     limits: DirectoryLimits,
     server_count: usize,
+    /// When the quarantines of a service were last ended early.
+    lifted_at: HashMap<ServiceName, Duration>,
 }
 
+fn is_quarantined(server: &ServerRecord) -> bool {
+    server.state() == ServerState::Quarantined
+}
+
+/// Whether operators have taken neither the server nor its failure domain out of service.
+fn is_in_use(server: &ServerRecord, configuration: &Configuration) -> bool {
+    configuration.is_in_service(server.domain()) && !configuration.is_leaving(server.name())
+}
+
+/// Shortest time between two early ends of the quarantines of one service.
+const LIFT_INTERVAL: Duration = Duration::from_secs(1);
 /// Consecutive missed heartbeats after which a server counts as silent.
 const MISSED_HEARTBEATS: u32 = 3;
 
@@ -89,6 +102,7 @@
             by_service: HashMap::new(),
             limits,
             server_count: 0,
+            lifted_at: HashMap::new(),
         }
     }
 
@@ -262,17 +276,56 @@
         silent
     }
 
+    /// Whether the server at `index` takes tasks under `configuration`, now or once others have ended.
+    pub fn is_usable(&self, index: usize, configuration: &Configuration) -> bool {
+        let Some(server) = self.servers.get(index) else { return false };
+        let is_ready = matches!(
+            server.state(),
+            ServerState::Announced | ServerState::Serving | ServerState::Probing
+        );
+        is_ready && is_in_use(server, configuration)
+    }
+
     /// Whether a task may be sent to the server at `index` under `configuration`, regardless of its
     /// load; a probed server takes one task at a time.
     pub fn is_eligible(&self, index: usize, configuration: &Configuration) -> bool {
-        let Some(server) = self.servers.get(index) else { return false };
-        let is_ready = match server.state() {
-            ServerState::Announced | ServerState::Serving => true,
-            ServerState::Probing => server.own_load() == 0,
-            _ => false,
+        let is_probe_open =
+            |server: &ServerRecord| server.state() == ServerState::Probing && server.own_load() > 0;
+        self.is_usable(index, configuration) && !self.servers.get(index).is_some_and(is_probe_open)
+    }
+
+    /// Ends the quarantines of each service of which no other server is left, so that its servers are
+    /// probed, at most once a [`LIFT_INTERVAL`]; returns those services.
+    ///
+    /// If tasks fail on every server, the cause is rather the tasks than the servers, and keeping all
+    /// of them away from work serves nobody.
+    pub fn probe_last_servers(
+        &mut self,
+        configuration: &Configuration,
+        now: Duration,
+    ) -> Vec<ServiceName> {
+        self.lifted_at.retain(|_, lifted_at| now < *lifted_at + LIFT_INTERVAL);
+        if !self.servers.iter().any(is_quarantined) {
+            return Vec::new();
+        }
+        let is_abandoned = |indexes: &[usize]| {
+            let is_left = |&index: &usize| self.is_usable(index, configuration);
+            let is_kept_away = |&index: &usize| {
+                let server = &self.servers[index];
+                is_quarantined(server) && is_in_use(server, configuration)
+            };
+            !indexes.iter().any(is_left) && indexes.iter().any(is_kept_away)
         };
-        is_ready
-            && configuration.is_in_service(server.domain())
-            && !configuration.is_leaving(server.name())
+        let due = self.by_service.iter().filter(|(name, _)| !self.lifted_at.contains_key(*name));
+        let abandoned = due.filter(|(_, indexes)| is_abandoned(indexes));
+        let mut services: Vec<ServiceName> = abandoned.map(|(name, _)| name.clone()).collect();
+        services.sort_unstable();
+        for service in &services {
+            self.lifted_at.insert(service.clone(), now);
+            for index in self.offering(service).to_vec() {
+                self.servers[index].advance(ServerEvent::Probe);
+            }
+        }
+        services
     }
 }
--- a/crates/core/src/entry/control_plane.rs
+++ b/crates/core/src/entry/control_plane.rs
@@ -301,6 +301,7 @@
             };
             self.record_event(TimelineEvent::new(EventKind::ServerSilent).subject(&name));
         }
+        self.probe_last_servers(now);
         self.losses.expire(now.elapsed);
         let lease = self.limits.lease;
         self.peer_loads.retain(|_, load| load.requested_at + lease > now.elapsed);
@@ -312,6 +313,14 @@
         self.republish_config(now);
     }
 
+    fn probe_last_servers(&mut self, now: Moment) {
+        let configuration = self.ledger.configuration();
+        for service in self.directory.probe_last_servers(configuration, now.elapsed) {
+            let lifted = TimelineEvent::new(EventKind::QuarantineLifted).subject(&service);
+            self.record_event(lifted);
+        }
+    }
+
     fn append_refusals(&mut self, now: Moment) {
         if self.phase == EntryPhase::Closing && self.jobs.is_empty() {
             self.refusal_buffer.close();
--- a/crates/core/src/entry/estimate.rs
+++ b/crates/core/src/entry/estimate.rs
@@ -188,7 +188,7 @@
         let mut speed = 0.0;
         let (mut times, mut samples) = (Duration::ZERO, 0);
         for index in sample.indexes() {
-            if !self.directory.is_eligible(index, self.ledger.configuration()) {
+            if !self.directory.is_usable(index, self.ledger.configuration()) {
                 continue;
             }
             let Some(server) = self.directory.get(index) else { continue };
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -95,6 +95,8 @@
         ServerRejoined = "server_rejoined",
         /// A backend server was quarantined because its tasks fail.
         ServerQuarantined = "server_quarantined",
+        /// The servers of a service, all of which were quarantined, are probed at once.
+        QuarantineLifted = "quarantine_lifted",
         /// The process applied a configuration version.
         ConfigApplied = "config_applied",
         /// A majority of the voting entries has applied a configuration version.
