Count the time that a server takes to end its runs as part of its longest hold

The agent and the entry counted a run as over after the longest lease alone, so a task could have been started again up to 50 ms too early, after an agent died in the worst moment. By calculation; no run showed it.

--- a/crates/core/src/run/event.rs
+++ b/crates/core/src/run/event.rs
@@ -15,7 +15,8 @@
 pub struct RunLimits {
     /// Lease that each start request, and each poll of a ready server, grants to all runs.
     pub lease: Duration,
-    /// Longest time for which the worker holds any lease, on its own clock.
+    /// Longest time from a call until the worker has ended all runs if no call follows: its longest
+    /// lease, and the time that it takes to end a run, on its own clock.
     pub longest_hold: Duration,
     /// Longest time that the worker holds one poll open; each poll of a ready server renews the
     /// lease.
@@ -35,7 +36,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(700),
-            longest_hold: Duration::from_secs(1),
+            longest_hold: Duration::from_millis(1_050),
             poll_wait: Duration::from_millis(200),
             open_polls: 1,
             silence_timeout: Duration::from_millis(450),
