--- a/crates/core/tests/agent.rs
+++ b/crates/core/tests/agent/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the agent (leases, attempts, cancellations, queue and server state) and of the route
 //! lookup.
 
+mod server_numbers;
+
 use bytes::Bytes;
 use parsleyspool_core::agent::{
     AgentAction, AgentEvent, AgentLimits, AgentMachine, RunResult, ServerAvailability,
