Renew the worker's lease no further than its runs may last

Cause: two leases in a chain. An agent stops the runs of a lost entry 0.9 s after its last answered heartbeat, and until it does so, or dies, each poll renews the worker's lease by 0.7 s. Their sum is 1.6 s, and callers submit again after 1.3 s. From the record and the logs of one pair: the agent dies 0.80 s after the entry, the run lapses 0.60 s later, 0.10 s after the second one has begun; the agent sent no stop, and its successor starts after the end, which excludes the other hypotheses (lost stops, a successor that keeps runs alive).

The agent now tells its run ledger the time by which the first of its runs must be over: stop_grace (0.3 s) after the end of its entry's lease. Starts and polls ask for a lease up to that time only, calculated for the slowest clock allowed, from the age of the reading on. So whoever dies when, the runs of a lost entry are over after 0.9 + 0.3 + 0.05 s. While heartbeats are answered nothing changes: the bound is 0.9 to 1.2 s away then.

Tests: the_lease_ends_when_the_first_run_must_be_over_on_the_slowest_clock, a_run_must_be_over_soon_after_the_lease_of_its_entry.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -201,6 +201,20 @@
         submissions.into_iter().take(MAX_HELD_SUBMISSIONS).collect()
     }
 
+    /// Time by which the first of the runs must be over, whatever else fails, on this agent's clock;
+    /// `None` if there is no such run.
+    ///
+    /// A run must be over [`AgentLimits::stop_grace`] after the end of its run lease.
+    pub fn run_deadline(&self) -> Option<Duration> {
+        let deadlines = self.tasks.iter().filter_map(|(task, accepted)| {
+            let is_running = accepted.started_at.is_some() && !accepted.is_stopping;
+            let lease_end = self.entry_leases.get(&entry_incarnation(*task)).copied();
+            (is_running && accepted.request.may_stop).then(|| lease_end.unwrap_or_default())
+        });
+        let first = deadlines.min().filter(|_| self.limits.is_leased);
+        first.map(|end| end + self.limits.stop_grace)
+    }
+
     /// Tasks that ran, or may have run, when the server was lost; one name for each recent loss.
     pub fn lost_tasks(&self) -> Vec<TaskName> {
         self.losses.tasks()
--- a/crates/core/src/agent/event.rs
+++ b/crates/core/src/agent/event.rs
@@ -18,6 +18,9 @@
     /// Whether tasks run only under a lease, which their entry renews with each answer to a
     /// heartbeat.
     pub is_leased: bool,
+    /// Time after the end of its run lease, or after it was asked to stop, by which a run must be over
+    /// even if every stop is lost and the agent dies.
+    pub stop_grace: Duration,
     /// Slots of tasks that may be queued here.
     pub queue_slots: u32,
     /// How long the outcome of a task is stored for queries; a start whose permit lasts longer is
@@ -34,6 +37,7 @@
         Self {
             capacity: ResourceAmounts::from_slots(8),
             is_leased: false,
+            stop_grace: Duration::from_millis(300),
             queue_slots: 32,
             outcome_retention: Duration::from_secs(10),
             max_outcomes: 100_000,
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -9,6 +9,8 @@
 //!   the worker has confirmed the stop, so the start cannot be carried out later.
 //! * Before the server is advertised to entries, runs that began in its incarnation before the
 //!   agent knew it are stopped, and a fencing token above all earlier ones is set.
+//! * The lease is renewed only as long as every run may continue. A run that must be over by a certain
+//!   time, and whose stops are lost, ends with the lease by then, together with all others.
 //! * A run whose worker does not answer ends when its lease has certainly expired: after the longest
 //!   hold since the last call that may have extended it, on the slowest clock allowed.
 //! * A server restart ends all runs of the earlier incarnation. The new one may have received the
@@ -43,7 +45,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 use worker_clock::WorkerClock;
-use worker_lease::WorkerLease;
+use worker_lease::{LeaseRenewal, WorkerLease};
 
 /// Progress of the session with a server incarnation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -127,6 +129,9 @@
     deferred_stops: BTreeSet<RunKey>,
     /// Latest run number used for each task, and when it was used.
     latest_numbers: HashMap<TaskName, (RunNumber, Duration)>,
+    /// Time by which the first of the runs must be over, as of the current event.
+    run_deadline: Option<Duration>,
+    is_renewal_withheld: bool,
     last_poll: PollNumber,
     fence_chooser: FenceChooser,
     /// When the server last answered, or when no answer was last expected.
@@ -147,6 +152,8 @@
             tasks_by_run: HashMap::new(),
             deferred_stops: BTreeSet::new(),
             latest_numbers: HashMap::new(),
+            run_deadline: None,
+            is_renewal_withheld: false,
             last_poll: 0,
             fence_chooser: FenceChooser::new(),
             last_answer_at: Duration::ZERO,
@@ -156,7 +163,16 @@
     }
 
     /// Processes an event and returns the actions to carry out.
-    pub fn handle(&mut self, event: RunEvent, now: Moment) -> Vec<RunAction> {
+    ///
+    /// `run_deadline` is the time by which the first of the runs must be over, whatever else fails, on
+    /// the agent's clock; `None` if there is no such run.
+    pub fn handle(
+        &mut self,
+        event: RunEvent,
+        run_deadline: Option<Duration>,
+        now: Moment,
+    ) -> Vec<RunAction> {
+        self.run_deadline = run_deadline;
         match event {
             RunEvent::Announced { incarnation, clock } => self.on_announce(incarnation, clock, now),
             RunEvent::Deregistered(incarnation) => self.on_deregister(&incarnation),
--- a/crates/core/src/run/event.rs
+++ b/crates/core/src/run/event.rs
@@ -111,6 +111,8 @@
     },
     /// Only runs started by this agent are running in this incarnation.
     ServerReady(ServerIncarnation),
+    /// A run must be over, so the lease is no longer renewed.
+    RenewalWithheld,
     /// The server stopped answering; its runs are not known to have ended.
     Unresponsive,
     /// The server answers again.
--- a/crates/core/src/run/poll.rs
+++ b/crates/core/src/run/poll.rs
@@ -2,8 +2,9 @@
 //! missing answers.
 
 use super::{
-    EndEvidence, EndedRow, FenceToken, IncarnationEnd, PollAnswer, PollCall, PollNumber, RunAction,
-    RunEnd, RunLedger, RunListing, RunPhase, RunningRow, SessionPhase, TrackedRun,
+    EndEvidence, EndedRow, FenceToken, IncarnationEnd, LeaseRenewal, PollAnswer, PollCall,
+    PollNumber, RunAction, RunEnd, RunLedger, RunListing, RunPhase, RunningRow, SessionPhase,
+    TrackedRun,
 };
 use crate::agent::RunResult;
 use crate::entry::{InterruptCause, NotStartedReason};
@@ -26,8 +27,13 @@
         let Some(session) = &mut self.session else { return };
         self.last_poll += 1;
         session.open_polls.insert(self.last_poll, session.fence);
-        let is_ready = session.phase == SessionPhase::Ready;
-        let lease_until = if is_ready { session.extend_lease(&self.limits, now) } else { None };
+        let lease_until = if session.phase == SessionPhase::Ready {
+            let renewal = session.renew_lease(&self.limits, self.run_deadline, now);
+            self.record_renewal(renewal)
+        } else {
+            None
+        };
+        let Some(session) = &mut self.session else { return };
         session.acknowledged = session.last_seen;
         self.actions.push(RunAction::Poll(PollCall {
             number: self.last_poll,
@@ -39,6 +45,19 @@
         }));
     }
 
+    /// End of the renewed lease, if it is renewed. Reports the first renewal that is withheld.
+    fn record_renewal(&mut self, renewal: LeaseRenewal) -> Option<Duration> {
+        let is_withheld = renewal == LeaseRenewal::Withheld;
+        if is_withheld && !self.is_renewal_withheld {
+            self.actions.push(RunAction::RenewalWithheld);
+        }
+        self.is_renewal_withheld = is_withheld;
+        match renewal {
+            LeaseRenewal::Until(until) => Some(until),
+            LeaseRenewal::Withheld | LeaseRenewal::ClockUnknown => None,
+        }
+    }
+
     /// Keeps polls open until the server is ready, while runs are tracked, while the server is
     /// unresponsive, and until every recorded end is acknowledged.
     pub(super) fn refill_polls(&mut self, now: Moment) {
--- a/crates/core/src/run/session.rs
+++ b/crates/core/src/run/session.rs
@@ -1,7 +1,7 @@
 //! Session with a server incarnation: how it begins, becomes ready, restarts and ends.
 
 use super::worker_clock::WorkerClock;
-use super::worker_lease::WorkerLease;
+use super::worker_lease::{LeaseRenewal, WorkerLease};
 use super::{
     EndEvidence, FenceToken, IncarnationEnd, RunAction, RunLedger, RunLimits, RunningRow,
     ServerIncarnation, ServerSession, SessionPhase,
@@ -13,12 +13,18 @@
 use std::time::Duration;
 
 impl ServerSession {
-    /// Extends the lease at `now`; returns its new end on the worker's clock, or `None` if the clock
-    /// is not known yet.
-    pub(super) fn extend_lease(&mut self, limits: &RunLimits, now: Moment) -> Option<Duration> {
-        let until = self.clock.estimate(now.steady)? + limits.lease;
-        self.lease.extend(limits.longest_hold, now.steady);
-        Some(until)
+    /// Renews the lease at `now`, for as long as every run may continue.
+    pub(super) fn renew_lease(
+        &mut self,
+        limits: &RunLimits,
+        run_deadline: Option<Duration>,
+        now: Moment,
+    ) -> LeaseRenewal {
+        let renewal = self.clock.lease_end(limits.lease, run_deadline, now);
+        if let LeaseRenewal::Until(_) = renewal {
+            self.lease.extend(limits.longest_hold, now.steady);
+        }
+        renewal
     }
 
     /// Drops the fencing token. Until another one is accepted, other calls may extend the lease.
--- a/crates/core/src/run/start.rs
+++ b/crates/core/src/run/start.rs
@@ -1,8 +1,8 @@
 //! Starts of runs: sends them to the worker and handles the answers.
 
 use super::{
-    EndEvidence, FenceToken, RunAction, RunKey, RunLedger, RunNumber, RunPhase, SessionPhase,
-    StartAnswer, StartCall, StartRefusal, TrackedRun,
+    EndEvidence, FenceToken, LeaseRenewal, RunAction, RunKey, RunLedger, RunNumber, RunPhase,
+    SessionPhase, StartAnswer, StartCall, StartRefusal, TrackedRun,
 };
 use crate::agent::RunResult;
 use crate::entry::{NotStartedReason, StartRequest};
@@ -41,10 +41,12 @@
     pub(super) fn send_start(&mut self, task: TaskId, now: Moment) {
         let Some(run) = self.runs.get(&task) else { return };
         let Some(session) = &mut self.session else { return };
-        let Some(lease_until) = session.extend_lease(&self.limits, now) else {
-            let result = RunResult::Refused(NotStartedReason::Leaving);
-            self.finish_run(task, result, EndEvidence::NotSent, now);
-            return;
+        let lease_until = match session.renew_lease(&self.limits, self.run_deadline, now) {
+            LeaseRenewal::Until(until) => until,
+            LeaseRenewal::ClockUnknown => {
+                return self.refuse_start(task, NotStartedReason::Leaving, now);
+            }
+            LeaseRenewal::Withheld => return self.refuse_start(task, NotStartedReason::Full, now),
         };
         let key = run.key.clone();
         self.latest_numbers.insert(key.task_name.clone(), (key.number, now.elapsed));
@@ -59,6 +61,11 @@
         self.actions.push(RunAction::Start(call));
     }
 
+    /// Returns a task that was not sent.
+    fn refuse_start(&mut self, task: TaskId, reason: NotStartedReason, now: Moment) {
+        self.finish_run(task, RunResult::Refused(reason), EndEvidence::NotSent, now);
+    }
+
     pub(super) fn on_start_answer(
         &mut self,
         key: &RunKey,
--- a/crates/core/src/run/worker_clock.rs
+++ b/crates/core/src/run/worker_clock.rs
@@ -1,7 +1,12 @@
 //! Estimate of the worker's clock, on the agent's steady clock: a suspension of the machine stops both.
 
+use super::worker_lease::LeaseRenewal;
+use crate::time::Moment;
 use std::time::Duration;
 
+/// Slowest rate at which the worker's clock runs, in percent of the agent's steady clock.
+pub(super) const MIN_CLOCK_RATE_PERCENT: u32 = 97;
+
 /// Reading of the worker's clock.
 #[derive(Debug, Clone, Copy)]
 struct ClockReading {
@@ -35,16 +40,45 @@
     pub(super) fn estimate(&self, now: Duration) -> Option<Duration> {
         self.latest.map(|latest| latest.extrapolate(now))
     }
+
+    /// End of a lease of the length `lease` that is granted at `now`, on the worker's clock. The lease
+    /// ends by `run_deadline`, on the agent's clock, even if the worker's clock is as slow as allowed.
+    pub(super) fn lease_end(
+        &self,
+        lease: Duration,
+        run_deadline: Option<Duration>,
+        now: Moment,
+    ) -> LeaseRenewal {
+        let Some(latest) = self.latest else { return LeaseRenewal::ClockUnknown };
+        let until = latest.extrapolate(now.steady) + lease;
+        let Some(run_deadline) = run_deadline else { return LeaseRenewal::Until(until) };
+        match run_deadline.checked_sub(now.elapsed) {
+            None | Some(Duration::ZERO) => LeaseRenewal::Withheld,
+            Some(remaining) => {
+                let earliest = latest.value + on_slowest_clock(latest.age(now.steady) + remaining);
+                LeaseRenewal::Until(until.min(earliest))
+            }
+        }
+    }
+}
+
+/// Shortest time that passes on the worker's clock during `time` on the agent's steady clock.
+fn on_slowest_clock(time: Duration) -> Duration {
+    time * MIN_CLOCK_RATE_PERCENT / 100
 }
 
 impl ClockReading {
     fn is_replaced_by(self, value: Duration, now: Duration) -> bool {
         let is_prompt = value + MAX_READING_LAG >= self.extrapolate(now);
-        let is_stale = now.saturating_sub(self.read_at) >= MAX_READING_AGE;
+        let is_stale = self.age(now) >= MAX_READING_AGE;
         is_prompt || (is_stale && value > self.value)
     }
 
     fn extrapolate(self, now: Duration) -> Duration {
-        self.value + now.saturating_sub(self.read_at)
+        self.value + self.age(now)
+    }
+
+    fn age(self, now: Duration) -> Duration {
+        now.saturating_sub(self.read_at)
     }
 }
--- a/crates/core/src/run/worker_lease.rs
+++ b/crates/core/src/run/worker_lease.rs
@@ -9,10 +9,19 @@
 //! That time is steady: a suspension of the machine stops the worker's clock, too. It counts from the
 //! sending of a call. A call that is carried out later names an end that has come closer by then.
 
+use super::worker_clock::MIN_CLOCK_RATE_PERCENT;
 use std::time::Duration;
 
-/// Slowest rate at which the worker's clock runs, in percent of the agent's steady clock.
-const MIN_CLOCK_RATE_PERCENT: u32 = 97;
+/// Outcome of a renewal of the lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LeaseRenewal {
+    /// The worker's clock is not known yet.
+    ClockUnknown,
+    /// A run must be over by now, so the lease must not last longer.
+    Withheld,
+    /// The lease is extended to this time on the worker's clock, unless it lasts longer already.
+    Until(Duration),
+}
 
 /// Bound for the end of the lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/core/tests/agent/main.rs
+++ b/crates/core/tests/agent/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the agent (leases, attempts, cancellations, queue and server state) and of the route
 //! lookup.
 
+mod run_deadline;
 mod server_numbers;
 
 use bytes::Bytes;
--- a/crates/core/tests/runs/harness.rs
+++ b/crates/core/tests/runs/harness.rs
@@ -19,6 +19,10 @@
     now: Duration,
     /// Part of `now` for which the machine was suspended.
     suspended: Duration,
+    /// Time by which the first run must be over.
+    pub run_deadline: Option<Duration>,
+    /// End of the lease that the latest poll asked for, on the worker's clock.
+    pub latest_renewal: Option<Duration>,
     ledger: RunLedger,
     open_polls: Vec<u64>,
     /// Runs and tokens of the starts and stops without an answer so far, oldest first.
@@ -72,6 +76,8 @@
         Self {
             now: Duration::from_secs(10),
             suspended: Duration::ZERO,
+            run_deadline: None,
+            latest_renewal: None,
             ledger: RunLedger::new(RunLimits::default()),
             open_polls: Vec::new(),
             open_starts: Vec::new(),
@@ -94,7 +100,7 @@
         let _ = writeln!(self.transcript, "{} > {title}", self.now.as_millis());
         let steady = self.now - self.suspended;
         let now = Moment { elapsed: self.now, steady, wall: self.now };
-        for action in self.ledger.handle(event, now) {
+        for action in self.ledger.handle(event, self.run_deadline, now) {
             self.record(action);
         }
     }
@@ -117,6 +123,7 @@
             }
             RunAction::Poll(call) => {
                 self.open_polls.push(call.number);
+                self.latest_renewal = call.lease_until;
                 format!(
                     "poll fence={:?} renews={} last_seen={} wait_ms={}",
                     call.fence,
@@ -129,6 +136,7 @@
                 format!("finished {} {result:?} evidence={}", task.index, record.evidence.name())
             }
             RunAction::ServerReady(incarnation) => format!("ready {}", incarnation.server),
+            RunAction::RenewalWithheld => "renewal withheld".to_owned(),
             RunAction::Unresponsive => "unresponsive".to_owned(),
             RunAction::Responsive => "responsive".to_owned(),
             RunAction::IncarnationEnded { incarnation, reason } => {
@@ -211,7 +219,7 @@
             end: *end,
         });
         let listing = RunListing {
-            clock: WORKER_CLOCK_AT_ZERO + self.now,
+            clock: self.worker_clock(),
             started_at: started_at.map(Duration::from_secs),
             running: running.collect(),
             ended: ended.collect(),
@@ -233,6 +241,16 @@
         self.advance_ms(millis);
     }
 
+    /// Sets the time by which the first run must be over.
+    pub fn end_runs_within_ms(&mut self, millis: u64) {
+        self.run_deadline = Some(self.now + Duration::from_millis(millis));
+    }
+
+    /// Reading of the worker's clock.
+    pub fn worker_clock(&self) -> Duration {
+        WORKER_CLOCK_AT_ZERO + self.now
+    }
+
     pub fn transcript(&self) -> &str {
         &self.transcript
     }
--- a/crates/core/tests/runs/main.rs
+++ b/crates/core/tests/runs/main.rs
@@ -2,6 +2,7 @@
 //! leases.
 
 mod harness;
+mod run_deadline;
 mod schedule_checks;
 mod schedules;
 mod server_factory;
--- a/crates/core/tests/runs/schedules.rs
+++ b/crates/core/tests/runs/schedules.rs
@@ -163,7 +163,7 @@
             WorkerCall::Stop(stop) => RunEvent::StopReturned {
                 key: stop.key.clone(),
                 fence: stop.fence,
-                answer: worker.stop(stop),
+                answer: worker.stop(stop, now),
             },
             WorkerCall::Poll(poll) => {
                 RunEvent::PollReturned { number: poll.number, answer: worker.poll(poll, now) }
@@ -180,7 +180,8 @@
 
     /// Records that the entry of a task may start it elsewhere from now on.
     fn record_end(&mut self, task_name: TaskName, evidence: &'static str) {
-        if self.worker.as_ref().is_some_and(|worker| worker.is_running(&task_name)) {
+        let running = self.worker.as_ref().map(WorkerModel::running).unwrap_or_default();
+        if running.iter().any(|key| key.task_name == task_name) {
             self.false_ends.insert(task_name.clone(), evidence);
         }
         self.ended_tasks.insert(task_name, evidence);
@@ -270,7 +271,7 @@
     fn handle(&mut self, event: RunEvent) {
         let now = Moment::new(self.now, self.now);
         self.trace(&event);
-        for action in self.ledger.handle(event, now) {
+        for action in self.ledger.handle(event, None, now) {
             self.trace(&action);
             match action {
                 RunAction::Start(call) => self.calls.push(WorkerCall::Start(call)),
--- a/crates/core/tests/runs/server_factory.rs
+++ b/crates/core/tests/runs/server_factory.rs
@@ -1,6 +1,6 @@
 //! Starts the servers of a schedule: new ones, and the previous one again under its id.
 
-use super::worker_model::{ModelClock, WorkerModel};
+use super::worker_model::{ModelClock, RunBehavior, WorkerModel};
 use parsleyspool_core::run::ServerIncarnation;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -59,7 +59,7 @@
         let uptime = self.uptime(is_new, random);
         let started_at = self.new_start_time(random, now).saturating_sub(uptime);
         let clock = self.new_clock(uptime, random, now);
-        WorkerModel::new(ServerIncarnation { server, started_at }, clock)
+        WorkerModel::new(ServerIncarnation { server, started_at }, clock, RunBehavior::default())
     }
 
     /// How long the server has run. One with a new id may have run before the schedule.
--- a/crates/core/tests/runs/worker_model.rs
+++ b/crates/core/tests/runs/worker_model.rs
@@ -5,11 +5,15 @@
     EndNumber, EndedRow, FenceToken, PollAnswer, PollCall, RunEnd, RunKey, RunListing, RunNumber,
     RunningRow, ServerIncarnation, StartAnswer, StartCall, StartRefusal, StopAnswer, StopCall,
 };
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 /// Longest time that a worker holds a lease, whatever end a call names.
 const LONGEST_HOLD: Duration = Duration::from_secs(1);
+/// Progress of runs that make none, in percent.
+const STALLED_PERCENT: u8 = 50;
+/// Time in which a run makes a percent of progress, in milliseconds.
+const PROGRESS_STEP_MS: u128 = 50;
 
 /// Steady clock of a worker.
 #[derive(Debug, Clone, Copy)]
@@ -27,6 +31,15 @@
     }
 }
 
+/// How runs at a worker proceed and end.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RunBehavior {
+    /// Time that it takes to end a run that is stopped, or whose lease has expired.
+    pub end_time: Duration,
+    /// Whether runs make progress.
+    pub is_progressing: bool,
+}
+
 /// One incarnation of a server with its worker.
 #[derive(Debug)]
 pub struct WorkerModel {
@@ -34,33 +47,39 @@
     pub clock: ModelClock,
     fence: FenceToken,
     lease_until: Duration,
+    behavior: RunBehavior,
     running: BTreeSet<RunKey>,
+    /// Runs that are being ended, each with the time at which it is over.
+    ending: BTreeMap<RunKey, Duration>,
     ended: Vec<EndedRow>,
     latest_numbers: HashMap<TaskName, RunNumber>,
     last_end: EndNumber,
 }
 
 impl WorkerModel {
-    pub fn new(incarnation: ServerIncarnation, clock: ModelClock) -> Self {
+    pub fn new(incarnation: ServerIncarnation, clock: ModelClock, behavior: RunBehavior) -> Self {
         Self {
             incarnation,
             clock,
             fence: 0,
             lease_until: Duration::ZERO,
+            behavior,
             running: BTreeSet::new(),
+            ending: BTreeMap::new(),
             ended: Vec::new(),
             latest_numbers: HashMap::new(),
             last_end: 0,
         }
     }
 
-    pub fn running(&self) -> Vec<RunKey> {
-        self.running.iter().cloned().collect()
+    /// Progress of all runs at `now`, in percent.
+    fn percent(&self, now: Duration) -> u8 {
+        let step = now.as_millis() / PROGRESS_STEP_MS % 100;
+        if self.behavior.is_progressing { step as u8 } else { STALLED_PERCENT }
     }
 
-    /// Whether a run of the task is in progress.
-    pub fn is_running(&self, task_name: &TaskName) -> bool {
-        self.running.iter().any(|key| key.task_name == *task_name)
+    pub fn running(&self) -> Vec<RunKey> {
+        self.running.iter().cloned().collect()
     }
 
     fn extend_lease(&mut self, until: Duration, clock: Duration) {
@@ -95,7 +114,7 @@
         is_newer
     }
 
-    pub fn stop(&mut self, call: &StopCall) -> StopAnswer {
+    pub fn stop(&mut self, call: &StopCall, now: Duration) -> StopAnswer {
         if call.incarnation.server != self.incarnation.server {
             return StopAnswer::OtherIncarnation;
         }
@@ -104,7 +123,7 @@
         }
         self.fence = call.fence;
         self.use_number(&call.key);
-        self.end(&call.key, RunEnd::Interrupted);
+        self.begin_end(call.key.clone(), now);
         StopAnswer::Confirmed
     }
 
@@ -121,7 +140,8 @@
             self.extend_lease(until, clock);
         }
         self.ended.retain(|row| row.number > call.last_seen);
-        let running = self.running.iter().map(|key| RunningRow { key: key.clone(), percent: 50 });
+        let percent = self.percent(now);
+        let running = self.running.iter().map(|key| RunningRow { key: key.clone(), percent });
         PollAnswer::Listing(RunListing {
             clock,
             started_at: Some(self.incarnation.started_at),
@@ -132,20 +152,38 @@
         })
     }
 
+    /// Begins to end a run, if it is running and not being ended yet.
+    fn begin_end(&mut self, key: RunKey, now: Duration) {
+        if self.running.contains(&key) {
+            self.ending.entry(key).or_insert(now + self.behavior.end_time);
+        }
+        self.finish_ends(now);
+    }
+
+    fn finish_ends(&mut self, now: Duration) {
+        let due = self.ending.iter().filter(|(_, at)| **at <= now);
+        let due: Vec<RunKey> = due.map(|(key, _)| key.clone()).collect();
+        for key in due {
+            self.end(&key, RunEnd::Interrupted);
+        }
+    }
+
     /// Ends a run, if it is running.
     pub fn end(&mut self, key: &RunKey, end: RunEnd) {
+        self.ending.remove(key);
         if self.running.remove(key) {
             self.last_end += 1;
             self.ended.push(EndedRow { number: self.last_end, key: key.clone(), end });
         }
     }
 
-    /// Ends all runs if their lease has expired.
+    /// Ends all runs if their lease has expired, and finishes the ends that are due.
     pub fn expire(&mut self, now: Duration) {
         if self.lease_until < self.clock.read(now) {
             for key in self.running() {
-                self.end(&key, RunEnd::Interrupted);
+                self.begin_end(key, now);
             }
         }
+        self.finish_ends(now);
     }
 }
--- a/crates/daemon/src/agent/leased_runs.rs
+++ b/crates/daemon/src/agent/leased_runs.rs
@@ -55,8 +55,9 @@
     /// Passes an event to the run ledger and executes the resulting actions.
     pub(super) fn handle_run_event(&mut self, event: RunEvent, address: &WeakAddress<Self>) {
         let now = self.shared.interfaces.clock.now();
+        let run_deadline = self.machine.run_deadline();
         let Some(runs) = &mut self.leased_runs else { return };
-        let actions = runs.ledger.handle(event, now);
+        let actions = runs.ledger.handle(event, run_deadline, now);
         for action in actions {
             self.execute_run_action(action, address);
         }
@@ -84,6 +85,7 @@
             RunAction::IncarnationEnded { incarnation, reason } => {
                 self.withdraw_server(&incarnation, reason, address);
             }
+            RunAction::RenewalWithheld => self.log_withheld_renewal(),
             RunAction::Unresponsive => self.report_state(AgentEvent::ServerUnresponsive, address),
             RunAction::Responsive => self.report_state(AgentEvent::ServerResponsive, address),
         }
@@ -147,6 +149,17 @@
         );
     }
 
+    /// Logs that the lease of all runs ends, since one of them must be over and has not been stopped.
+    fn log_withheld_renewal(&self) {
+        let run_deadline = self.machine.run_deadline();
+        tracing::warn!(
+            event = "renewal_withheld",
+            run_deadline_ms = run_deadline.map(|deadline| deadline.as_millis()),
+            now_ms = self.shared.interfaces.clock.now().elapsed.as_millis(),
+            tasks = self.machine.task_count()
+        );
+    }
+
     /// Stops advertising the server, whose incarnation has ended.
     fn withdraw_server(
         &mut self,
--- a/crates/daemon/src/settings/agent.rs
+++ b/crates/daemon/src/settings/agent.rs
@@ -62,6 +62,14 @@
     /// Number of polls kept open at the worker.
     #[serde(default = "default_looks")]
     pub looks: usize,
+    /// Time after the end of its run lease, or after it was asked to stop, by which a run must be over
+    /// even if every stop is lost and the agent dies.
+    #[serde(default = "default_stop_grace", with = "humantime_serde")]
+    pub stop_grace: Duration,
+}
+
+fn default_stop_grace() -> Duration {
+    AgentLimits::default().stop_grace
 }
 
 fn default_looks() -> usize {
@@ -145,7 +153,9 @@
 impl AgentSettings {
     /// Limits for the state machine of the agent.
     pub fn agent_limits(&self) -> AgentLimits {
+        let runs = self.runs.as_ref();
         AgentLimits {
+            stop_grace: runs.map_or_else(default_stop_grace, |runs| runs.stop_grace),
             capacity: ResourceAmounts::from_slots(
                 self.backend.as_ref().map_or(0, |backend| backend.slots),
             ),
--- a/crates/daemon/src/settings/reference.rs
+++ b/crates/daemon/src/settings/reference.rs
@@ -19,7 +19,7 @@
 }
 
 /// All settings of entries and agents.
-pub const SETTING_TABLE: [SettingRow; 70] = [
+pub const SETTING_TABLE: [SettingRow; 71] = [
     row("entry.name", "text", "name of the entry, reused by its replacement"),
     row("entry.domain", "text", "failure domain that the entry runs in"),
     row("entry.rank", "number", "index among the entries, staggers their republications"),
@@ -104,6 +104,11 @@
     row("agent.runs.lease", "duration", "lease that each call to the worker grants to all runs"),
     row("agent.runs.renewal", "duration", "time between two renewals of the lease"),
     row("agent.runs.looks", "number", "polls kept open at the worker"),
+    row(
+        "agent.runs.stop_grace",
+        "duration",
+        "time after the end of its run lease, or after a stop, until a run is over",
+    ),
     row("agent.backend.url", "URL", "base URL that tasks are sent to"),
     row("agent.backend.worker_url", "URL", "base URL of the worker, if it can stop running tasks"),
     row("agent.backend.services", "list of text", "services that the backend server offers"),
