Bound the lease by runs whose stops are lost, too

Cause: a stop was repeated until it was answered, and meanwhile polls renewed the lease of its run like that of any other.

A run under stop now bounds the lease as well: by stop_grace after the end of its entry's lease, or after its entry gave it up, whichever is first. If no stop gets through until then, the renewal is withheld, the run ends with the lease, and its neighbours with it; their entries start them again. A cancelled run is covered by the same rule: before, its entry's heartbeats renewed the run lease for as long as the stops were lost.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -53,8 +53,8 @@
     queue_position: Duration,
     /// `None` while the task is queued.
     started_at: Option<Duration>,
-    /// Whether the run was already asked to stop.
-    is_stopping: bool,
+    /// When the run was asked to stop.
+    stop_requested_at: Option<Duration>,
 }
 
 /// Maximum number of submissions that a heartbeat lists; later heartbeats list the others once these
@@ -204,12 +204,14 @@
     /// Time by which the first of the runs must be over, whatever else fails, on this agent's clock;
     /// `None` if there is no such run.
     ///
-    /// A run must be over [`AgentLimits::stop_grace`] after the end of its run lease.
+    /// A run must be over [`AgentLimits::stop_grace`] after the end of its run lease, or after it was
+    /// asked to stop.
     pub fn run_deadline(&self) -> Option<Duration> {
         let deadlines = self.tasks.iter().filter_map(|(task, accepted)| {
-            let is_running = accepted.started_at.is_some() && !accepted.is_stopping;
+            let must_end = accepted.started_at.is_some() && accepted.request.may_stop;
             let lease_end = self.entry_leases.get(&entry_incarnation(*task)).copied();
-            (is_running && accepted.request.may_stop).then(|| lease_end.unwrap_or_default())
+            let stop_requested_at = accepted.stop_requested_at.unwrap_or(Duration::MAX);
+            must_end.then(|| lease_end.unwrap_or_default().min(stop_requested_at))
         });
         let first = deadlines.min().filter(|_| self.limits.is_leased);
         first.map(|end| end + self.limits.stop_grace)
--- a/crates/core/src/agent/cancel_and_query.rs
+++ b/crates/core/src/agent/cancel_and_query.rs
@@ -40,16 +40,17 @@
         if accepted.started_at.is_none() {
             self.return_task(task, not_started, now);
         } else {
-            self.stop_run(task, stopped);
+            self.stop_run(task, stopped, now);
         }
     }
 
     /// Asks the worker to stop a running task, once, if it may be stopped.
-    pub(super) fn stop_run(&mut self, task: TaskId, reason: StopReason) {
+    pub(super) fn stop_run(&mut self, task: TaskId, reason: StopReason, now: Moment) {
         let Some(accepted) = self.tasks.get_mut(&task) else { return };
-        if !accepted.request.may_stop || std::mem::replace(&mut accepted.is_stopping, true) {
+        if !accepted.request.may_stop || accepted.stop_requested_at.is_some() {
             return;
         }
+        accepted.stop_requested_at = Some(now.elapsed);
         self.record_event(EventKind::AgentStopped, task, &[EventField::StopReason(reason)]);
         self.actions.push(AgentAction::Stop { task });
     }
--- a/crates/core/src/agent/task_queue.rs
+++ b/crates/core/src/agent/task_queue.rs
@@ -15,7 +15,13 @@
         let queue_position = now.elapsed + request.queue_penalty;
         self.tasks.insert(
             task,
-            AcceptedTask { entry, request, queue_position, started_at: None, is_stopping: false },
+            AcceptedTask {
+                entry,
+                request,
+                queue_position,
+                started_at: None,
+                stop_requested_at: None,
+            },
         );
         self.queue.insert((queue_position, task));
         self.actions.push(AgentAction::AddWaiter { task });
--- a/crates/core/tests/runs/run_deadline.rs
+++ b/crates/core/tests/runs/run_deadline.rs
@@ -1,7 +1,7 @@
 //! Runs that must be over by a certain time, at a ledger whose stops may all be lost.
 
 use super::harness::{RunHarness, run_key};
-use parsleyspool_core::run::{PollAnswer, StartAnswer};
+use parsleyspool_core::run::{PollAnswer, StartAnswer, StopAnswer};
 use std::time::Duration;
 
 /// Lease that a call asks for if no run must be over sooner.
@@ -43,6 +43,23 @@
     assert_eq!(harness.latest_renewal, Some(longest));
 }
 
+/// Failure (review/8): the stops of a run are lost one after the other, and polls renew its lease.
+#[test]
+fn a_run_whose_stops_are_lost_ends_with_its_lease() {
+    let mut harness = with_run();
+    harness.stop(0);
+    harness.end_runs_within_ms(0);
+
+    for _ in 0..3 {
+        harness.answer_stop(run_key(0, 1), StopAnswer::Unanswered);
+        harness.answer_listing(&[run_key(0, 1)], &[]);
+        assert_eq!(harness.latest_renewal, None);
+    }
+
+    let transcript = harness.transcript();
+    assert_eq!(transcript.matches("renewal withheld").count(), 1, "{transcript}");
+}
+
 #[test]
 fn no_run_starts_while_the_renewal_is_withheld() {
     let mut harness = with_run();
