Explore entries, agents and leased workers over time

The fleet has what it lacks: three entries and four agents with their run ledgers, workers with leases on slow clocks that outlive their agents, callers that submit a lost job again after 1.3 s, and faults over time: entries killed, and agents soon after; processes that stand still; links that are cut, silent or slow; commands carried out seconds late. It checks at the workers that no two runs of a task are in progress at once.

--- a/crates/core/tests/explore/main.rs
+++ b/crates/core/tests/explore/main.rs
@@ -7,6 +7,8 @@
 
 mod cluster;
 mod fault;
+mod fleet;
+mod fleet_checks;
 mod step;
 
 use cluster::SimulatedCluster;
