Keep the run leases that an entry grants by the incarnation of the agent

Callers saw, or could see: an accepted task that nobody answers until its deadline, after its agent was replaced and the successor fell silent (KNOWN-RED lapse_after_replacement); a task started elsewhere while a living agent holds a lease for it, after a late heartbeat of a dead one (unrecorded_lease).

Cause: the end of the latest lease stood in the record of the server, which belongs to one incarnation of its agent. A replacement dropped it with the record, and a lease granted to an incarnation that the directory calls outdated was not recorded at all.

The entry now keeps the end of the latest lease for each server and incarnation of its agent, whatever the directory makes of a heartbeat, and gives up the tasks sent to that incarnation run_lapse after it.

Seen to fail before, all three ignored until now: tasks_of_a_replaced_agent_lapse_when_its_successor_falls_silent, tasks_of_an_agent_that_is_known_again_lapse_when_it_falls_silent, a_lease_granted_in_answer_to_an_outdated_heartbeat_counts. The last required that no run at all is given up within the lease of the living agent; its second task is at the dead one, whose lease has ended, and is rightly given up. The test now says which: that of the dead agent, and only that, within the lease, and the other one after it.

--- a/crates/core/src/directory/server.rs
+++ b/crates/core/src/directory/server.rs
@@ -86,7 +86,6 @@
 pub struct ServerRecord {
     report: ServerReport,
     last_heartbeat: Duration,
-    run_lease_until: Option<Duration>,
     load_at: Duration,
     state: ServerState,
     own_load: u32,
@@ -108,7 +107,6 @@
         let mut server = Self {
             report,
             last_heartbeat: now,
-            run_lease_until: None,
             load_at: now,
             state: LifecycleCharts::shared().server.initial(),
             own_load: 0,
@@ -217,18 +215,6 @@
         self.last_heartbeat
     }
 
-    /// Records that the agent is granted a run lease that ends at `until` or earlier, on this
-    /// entry's clock.
-    pub fn grant_run_lease(&mut self, until: Duration) {
-        self.run_lease_until = self.run_lease_until.max(Some(until));
-    }
-
-    /// Time by which every run lease granted to this incarnation of the agent has ended, on this
-    /// entry's clock; `None` if none was granted.
-    pub fn run_lease_until(&self) -> Option<Duration> {
-        self.run_lease_until
-    }
-
     /// Current state in the server chart.
     pub fn state(&self) -> ServerState {
         self.state
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -143,6 +143,9 @@
     directory: ServerDirectory,
     losses: LossHistory,
     run_times: RunTimes,
+    /// When the latest run lease granted to an incarnation of an agent ends, by the index of its server
+    /// and the incarnation.
+    run_leases: HashMap<(usize, Incarnation), Duration>,
     policy: Box<dyn PlacementPolicy>,
     random: ChaCha8Rng,
     queue: TeamQueue,
@@ -197,6 +200,7 @@
             directory: ServerDirectory::new(limits.directory.clone()),
             losses: LossHistory::default(),
             run_times: RunTimes::new(),
+            run_leases: HashMap::new(),
             policy: limits.placement.policy(),
             random: ChaCha8Rng::seed_from_u64(seed),
             queue: TeamQueue::new(),
--- a/crates/core/src/entry/heartbeat.rs
+++ b/crates/core/src/entry/heartbeat.rs
@@ -37,15 +37,13 @@
         }
     }
 
-    /// Records the run lease in the directive that answers a heartbeat of `incarnation`. The agent
-    /// counts it from when it sent the heartbeat, so there it ends earlier.
+    /// Records the run lease in the directive that answers a heartbeat of `incarnation`, whatever the
+    /// directory makes of it. The agent counts it from when it sent the heartbeat, so there it ends
+    /// earlier.
     fn record_run_lease(&mut self, index: usize, incarnation: Incarnation, now: Moment) {
         let until = now.elapsed + self.run_lease();
-        if let Some(server) = self.directory.get_mut(index)
-            && server.incarnation() == incarnation
-        {
-            server.grant_run_lease(until);
-        }
+        let lease = self.run_leases.entry((index, incarnation)).or_default();
+        *lease = (*lease).max(until);
     }
 
     /// Directive for the agent that sent `report`, returned in reply to this heartbeat.
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -9,7 +9,7 @@
 use crate::directory::{RunSample, ServerRecord};
 use crate::error::{ErrorKind, LimitDetails, LimitName};
 use crate::id::{Incarnation, TaskId};
-use crate::job::ActiveJob;
+use crate::job::{ActiveJob, ActiveTask};
 use crate::lifecycle::{ServerEvent, TaskEvent, TaskState};
 use crate::time::Moment;
 use crate::timeline::{EventField, EventKind, TimelineEvent, micros};
@@ -272,21 +272,21 @@
     /// The heartbeat may be late, so only the reply from the address tells which one lives there.
     pub(super) fn query_other_incarnations(&mut self, index: usize, now: Moment) {
         let current = self.directory.get(index).map(ServerRecord::incarnation);
-        for id in self.sent_tasks(index, |addressed| Some(addressed) != current) {
+        let others = |(server, addressed)| server == index && Some(addressed) != current;
+        for id in self.sent_tasks(others) {
             self.schedule_status_query(id, Duration::ZERO, now);
         }
         self.send_due_status_queries(now);
     }
 
-    /// Sorted tasks sent to the server at `index` whose addressed incarnation satisfies `is_match`.
-    fn sent_tasks(&self, index: usize, is_match: impl Fn(Incarnation) -> bool) -> Vec<TaskId> {
-        let is_sent_here = |server: Option<(usize, Incarnation)>| {
-            server.is_some_and(|(at, addressed)| at == index && is_match(addressed))
-        };
+    /// Sorted sent tasks whose server and addressed incarnation satisfy `is_match`.
+    fn sent_tasks(&self, is_match: impl Fn((usize, Incarnation)) -> bool) -> Vec<TaskId> {
         let sent = self.jobs.values().flat_map(|job| {
             let tasks = job.tasks.iter().zip(0u32..);
-            let sent = tasks
-                .filter(|(task, _)| task.state() == TaskState::Sent && is_sent_here(task.server));
+            let is_sent = |task: &ActiveTask| {
+                task.state() == TaskState::Sent && task.server.is_some_and(&is_match)
+            };
+            let sent = tasks.filter(move |(task, _)| is_sent(task));
             sent.map(|(_, position)| TaskId::new(job.id, position))
         });
         let mut sent: Vec<TaskId> = sent.collect();
@@ -294,24 +294,18 @@
         sent
     }
 
-    /// Queues the tasks of a server again once the run leases granted to its agent have ended for so
-    /// long that all its runs have ended.
+    /// Queues the tasks of an agent again once the run leases granted to its incarnation have ended for
+    /// so long that all its runs have ended, whatever became of the incarnation.
     pub(super) fn requeue_lapsed_runs(&mut self, now: Moment) {
-        if self.limits.run_lapse.is_zero() {
-            return;
-        }
         let run_lapse = self.limits.run_lapse;
-        let is_lapsed = |server: &ServerRecord| {
-            let lease_until = server.run_lease_until();
-            server.own_load() > 0
-                && lease_until.is_some_and(|until| now.elapsed >= until + run_lapse)
-        };
-        let servers = self.directory.iter().filter(|(_, server)| is_lapsed(server));
-        let lapsed: Vec<usize> = servers.map(|(index, _)| index).collect();
-        for index in lapsed {
-            for id in self.sent_tasks(index, |_| true) {
+        let lapsed = self.run_leases.iter().filter(|(_, until)| now.elapsed >= **until + run_lapse);
+        let mut lapsed: Vec<(usize, Incarnation)> = lapsed.map(|(agent, _)| *agent).collect();
+        lapsed.sort_unstable();
+        for agent in lapsed {
+            self.run_leases.remove(&agent);
+            for id in self.sent_tasks(|server| server == agent) {
                 if self.may_requeue_after_lapse(id) {
-                    self.handle_interrupted_run(id, index, InterruptCause::AgentSilent, now);
+                    self.handle_interrupted_run(id, agent.0, InterruptCause::AgentSilent, now);
                 }
             }
         }
--- a/crates/core/tests/entry/run_leases.rs
+++ b/crates/core/tests/entry/run_leases.rs
@@ -5,7 +5,7 @@
 use parsleyspool_core::config::RequestRule;
 use parsleyspool_core::directory::{DirectoryLimits, ServerReport};
 use parsleyspool_core::entry::{EntryAction, EntryEvent, EntryLimits, EntryMachine};
-use parsleyspool_core::id::Incarnation;
+use parsleyspool_core::id::{Incarnation, SubmissionId};
 use parsleyspool_core::timeline::EventKind;
 use std::time::Duration;
 
@@ -34,18 +34,31 @@
     machine.directory().iter().next().map(|(_, server)| server.incarnation())
 }
 
+/// Submissions of the tasks whose runs are taken for ended.
+fn interrupted(actions: &[EntryAction]) -> Vec<SubmissionId> {
+    let events = actions.iter().filter_map(|action| match action {
+        EntryAction::RecordEvent(event) if event.kind == EventKind::TaskInterrupted => {
+            event.submission
+        }
+        _ => None,
+    });
+    events.collect()
+}
+
 fn has_interrupted(actions: &[EntryAction]) -> bool {
-    actions.iter().any(|action| {
-        matches!(action, EntryAction::RecordEvent(event) if event.kind == EventKind::TaskInterrupted)
-    })
+    !interrupted(actions).is_empty()
 }
 
-/// Sends ticks from `from_ms` to `until_ms`; returns whether one of them takes a run for ended.
-fn tick(machine: &mut EntryMachine, from_ms: u64, until_ms: u64) -> bool {
+/// Sends ticks from `from_ms` to `until_ms`; returns the submissions of the tasks whose runs are taken
+/// for ended.
+fn tick_interrupting(machine: &mut EntryMachine, from_ms: u64, until_ms: u64) -> Vec<SubmissionId> {
     let ticks = (from_ms..until_ms).step_by(50);
-    let interrupted =
-        ticks.map(|now_ms| has_interrupted(&machine.handle(EntryEvent::Tick, at(now_ms))));
-    interrupted.fold(false, |any, is_interrupted| any | is_interrupted)
+    ticks.flat_map(|now_ms| interrupted(&machine.handle(EntryEvent::Tick, at(now_ms)))).collect()
+}
+
+/// Like [`tick_interrupting`]; returns whether any run is taken for ended.
+fn tick(machine: &mut EntryMachine, from_ms: u64, until_ms: u64) -> bool {
+    !tick_interrupting(machine, from_ms, until_ms).is_empty()
 }
 
 /// Failure: the servers of a failed domain are forgotten, the run lease becomes shorter with their
@@ -109,7 +122,6 @@
 /// Failure: an agent is replaced, and its successor falls silent before it answers the status query.
 /// The record of the successor counts no task of the predecessor, so its tasks never lapse.
 #[test]
-#[ignore = "KNOWN-RED: lapse_after_replacement"]
 fn tasks_of_a_replaced_agent_lapse_when_its_successor_falls_silent() {
     let mut machine = leasing_entry();
     machine.handle(EntryEvent::Heartbeat(report(1, 0, 0)), at(5));
@@ -129,7 +141,6 @@
 /// Failure: as above, but the successor is a late heartbeat, and the living agent is known again before
 /// it falls silent itself.
 #[test]
-#[ignore = "KNOWN-RED: lapse_after_replacement"]
 fn tasks_of_an_agent_that_is_known_again_lapse_when_it_falls_silent() {
     let mut machine = leasing_entry();
     machine.handle(EntryEvent::Heartbeat(report(1, 0, 0)), at(5));
@@ -148,21 +159,23 @@
 /// Failure: the heartbeats of a living agent count as outdated after a late one, are answered with run
 /// leases nevertheless, and the entry gives its tasks up by the leases of the dead agent alone.
 #[test]
-#[ignore = "KNOWN-RED: unrecorded_lease"]
 fn a_lease_granted_in_answer_to_an_outdated_heartbeat_counts() {
     let mut machine = leasing_entry();
     machine.handle(EntryEvent::Heartbeat(report(1, 0, 0)), at(5));
     let started = submit(&mut machine, 1, 1);
     let late = ServerReport { incarnation: 2, ..report(1, 0, 0) };
     machine.handle(EntryEvent::Heartbeat(late), at(20));
-    let started_later = submit_job(&mut machine, 2, vec![task(None)], 25);
+    let started_at_dead = starts(submit_job(&mut machine, 2, vec![task(None)], 25));
     let outdated = report(2, 0, 0);
     machine.handle(EntryEvent::Heartbeat(outdated.clone()), at(900));
     let lease = machine.directive(&outdated, at(900)).run_lease.expect("runs have a lease");
     let lease_end_ms = 900 + lease.as_millis() as u64;
 
-    let within_lapse = tick(&mut machine, 950, lease_end_ms + 850);
+    let within_lapse = tick_interrupting(&mut machine, 950, lease_end_ms + 850);
+    let after_lapse = tick_interrupting(&mut machine, lease_end_ms + 900, lease_end_ms + 1_000);
 
-    assert_eq!((started.len(), starts(started_later).len()), (1, 1));
-    assert!(!within_lapse, "the agent holds a lease until {lease_end_ms} ms");
+    let [living, dead] = [&started, &started_at_dead].map(|started| started[0].task.submission);
+    assert_eq!((started[0].incarnation, started_at_dead[0].incarnation), (1, 2));
+    assert_eq!(within_lapse, [dead], "the living agent holds a lease until {lease_end_ms} ms");
+    assert_eq!(after_lapse, [living]);
 }
