--- a/crates/core/tests/explore/fleet/agent_node.rs
+++ b/crates/core/tests/explore/fleet/agent_node.rs
@@ -1,8 +1,8 @@
 //! Agents of the fleet, each with its run ledger.
 
 use super::event::{FleetEvent, Life, Sender};
-use super::worker_calls::{OpenPoll, WorkerCall};
-use super::worker_model::{ModelClock, RunBehavior, WorkerModel};
+use super::worker_calls::OpenPoll;
+use super::worker_model::{ModelClock, RunBehavior, WorkerCall, WorkerModel};
 use super::{ENTRIES, Fleet, LeaseBound, WALL_CLOCK_AT_ZERO};
 use parsleyspool_core::agent::{
     AgentAction, AgentEvent, AgentLimits, AgentMachine, ServerAvailability,
--- a/crates/core/tests/explore/fleet/event.rs
+++ b/crates/core/tests/explore/fleet/event.rs
@@ -2,7 +2,7 @@
 
 use super::callers::JobIndex;
 use super::faults::FleetFault;
-use super::worker_calls::WorkerCall;
+use super::worker_model::WorkerCall;
 use parsleyspool_core::directory::ServerReport;
 use parsleyspool_core::entry::{AgentDirective, StartId, StartRequest, TaskReply};
 use parsleyspool_core::id::TaskId;
--- a/crates/core/tests/explore/fleet/worker_calls.rs
+++ b/crates/core/tests/explore/fleet/worker_calls.rs
@@ -2,9 +2,9 @@
 
 use super::Fleet;
 use super::event::{FleetEvent, Life};
+use super::worker_model::WorkerCall;
 use parsleyspool_core::run::{
-    PollAnswer, PollCall, PollNumber, RunEnd, RunEvent, RunKey, StartAnswer, StartCall, StopAnswer,
-    StopCall,
+    PollAnswer, PollCall, PollNumber, RunEnd, RunEvent, RunKey, StartAnswer,
 };
 use rand::RngExt;
 use std::collections::BTreeSet;
@@ -17,13 +17,6 @@
 /// Time that a call or an answer takes.
 const CALL_DELAY: Duration = Duration::from_millis(1);
 
-#[derive(Debug, Clone)]
-pub enum WorkerCall {
-    Start(StartCall),
-    Stop(StopCall),
-    Poll(PollCall),
-}
-
 /// Poll that the worker holds open.
 #[derive(Debug)]
 pub struct OpenPoll {
@@ -40,7 +33,7 @@
     pub(super) fn receive_call(&mut self, agent: usize, life: Life, call: WorkerCall) {
         if self.is_late(&call) {
             let lateness = Duration::from_millis(self.random.random_range(LATENESS_MS));
-            let answer = unanswered(&call);
+            let answer = call.unanswered();
             self.schedule(COMMAND_TIMEOUT, FleetEvent::AnswerArrives { agent, life, answer });
             self.schedule(lateness, FleetEvent::LateCall { agent, call });
             return;
@@ -66,26 +59,15 @@
 
     /// Executes a call; returns its answer, or `None` if it is a poll that is held open.
     fn execute_call(&mut self, agent: usize, life: Life, call: &WorkerCall) -> Option<RunEvent> {
-        let now = self.now;
-        let worker = &mut self.agents[agent].worker;
-        match call {
-            WorkerCall::Start(start) => {
-                let answer = worker.start(start, now);
-                if answer == StartAnswer::Started {
-                    let run_time = self.job_of_task(&start.key.task_name).run_time;
-                    let key = start.key.clone();
-                    self.schedule(run_time, FleetEvent::RunFinishes { agent, key });
-                }
-                let (key, fence) = (start.key.clone(), start.fence);
-                Some(RunEvent::StartReturned { key, fence, answer })
-            }
-            WorkerCall::Stop(stop) => {
-                let answer = worker.stop(stop, now);
-                let (key, fence) = (stop.key.clone(), stop.fence);
-                Some(RunEvent::StopReturned { key, fence, answer })
-            }
-            WorkerCall::Poll(poll) => self.hold_poll(agent, life, poll),
+        if let WorkerCall::Poll(poll) = call {
+            return self.hold_poll(agent, life, poll);
         }
+        let answer = self.agents[agent].worker.execute(call, self.now);
+        if let RunEvent::StartReturned { key, answer: StartAnswer::Started, .. } = &answer {
+            let run_time = self.job_of_task(&key.task_name).run_time;
+            self.schedule(run_time, FleetEvent::RunFinishes { agent, key: key.clone() });
+        }
+        Some(answer)
     }
 
     /// Renews the lease, and holds the poll until it is due or a run ends.
@@ -154,21 +136,3 @@
         }
     }
 }
-
-fn unanswered(call: &WorkerCall) -> RunEvent {
-    match call {
-        WorkerCall::Start(start) => RunEvent::StartReturned {
-            key: start.key.clone(),
-            fence: start.fence,
-            answer: StartAnswer::Unanswered,
-        },
-        WorkerCall::Stop(stop) => RunEvent::StopReturned {
-            key: stop.key.clone(),
-            fence: stop.fence,
-            answer: StopAnswer::Unanswered,
-        },
-        WorkerCall::Poll(poll) => {
-            RunEvent::PollReturned { number: poll.number, answer: PollAnswer::Unanswered }
-        }
-    }
-}
--- a/crates/core/tests/runs/schedules.rs
+++ b/crates/core/tests/runs/schedules.rs
@@ -6,13 +6,10 @@
 
 use super::harness::start_request;
 use super::server_factory::{HeldCalls, ServerClocks, ServerFactory};
-use super::worker_model::WorkerModel;
+use super::worker_model::{WorkerCall, WorkerModel};
 use parsleyspool_core::agent::RunResult;
 use parsleyspool_core::id::{TaskId, TaskName, task_name};
-use parsleyspool_core::run::{
-    PollAnswer, PollCall, RunAction, RunEnd, RunEvent, RunLedger, RunLimits, StartAnswer,
-    StartCall, StopAnswer, StopCall,
-};
+use parsleyspool_core::run::{RunAction, RunEnd, RunEvent, RunLedger, RunLimits, StartAnswer};
 use parsleyspool_core::time::Moment;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -27,13 +24,6 @@
 /// What the end of a run is concluded from if the agent that started it was replaced.
 const AGENT_REPLACED: &str = "agent_replaced";
 
-#[derive(Debug, Clone)]
-enum WorkerCall {
-    Start(StartCall),
-    Stop(StopCall),
-    Poll(PollCall),
-}
-
 /// One schedule.
 pub struct RunSchedule {
     pub seed: u64,
@@ -138,7 +128,7 @@
         } else {
             self.late_calls.push(call.clone());
         }
-        self.answers.push(unanswered(&call));
+        self.answers.push(call.unanswered());
     }
 
     fn deliver_late_call(&mut self) {
@@ -152,23 +142,11 @@
         self.trace(call);
         let now = self.now;
         let Some(worker) = &mut self.worker else { return refused(call) };
-        match call {
-            WorkerCall::Start(start) => {
-                let answer = worker.start(start, now);
-                if answer == StartAnswer::Started {
-                    self.record_start(&start.key.task_name);
-                }
-                RunEvent::StartReturned { key: start.key.clone(), fence: start.fence, answer }
-            }
-            WorkerCall::Stop(stop) => RunEvent::StopReturned {
-                key: stop.key.clone(),
-                fence: stop.fence,
-                answer: worker.stop(stop, now),
-            },
-            WorkerCall::Poll(poll) => {
-                RunEvent::PollReturned { number: poll.number, answer: worker.poll(poll, now) }
-            }
+        let event = worker.execute(call, now);
+        if let RunEvent::StartReturned { key, answer: StartAnswer::Started, .. } = &event {
+            self.record_start(&key.task_name);
         }
+        event
     }
 
     fn record_start(&mut self, task_name: &TaskName) {
@@ -346,24 +324,6 @@
     task_name(&"j".into(), task.index)
 }
 
-fn unanswered(call: &WorkerCall) -> RunEvent {
-    match call {
-        WorkerCall::Start(start) => RunEvent::StartReturned {
-            key: start.key.clone(),
-            fence: start.fence,
-            answer: StartAnswer::Unanswered,
-        },
-        WorkerCall::Stop(stop) => RunEvent::StopReturned {
-            key: stop.key.clone(),
-            fence: stop.fence,
-            answer: StopAnswer::Unanswered,
-        },
-        WorkerCall::Poll(poll) => {
-            RunEvent::PollReturned { number: poll.number, answer: PollAnswer::Unanswered }
-        }
-    }
-}
-
 /// Event for a call to which no server listens.
 fn refused(call: &WorkerCall) -> RunEvent {
     match call {
@@ -372,7 +332,7 @@
             fence: start.fence,
             answer: StartAnswer::ConnectionRefused,
         },
-        WorkerCall::Stop(_) | WorkerCall::Poll(_) => unanswered(call),
+        WorkerCall::Stop(_) | WorkerCall::Poll(_) => call.unanswered(),
     }
 }
 
--- a/crates/core/tests/runs/worker_model.rs
+++ b/crates/core/tests/runs/worker_model.rs
@@ -2,8 +2,9 @@
 
 use parsleyspool_core::id::TaskName;
 use parsleyspool_core::run::{
-    EndNumber, EndedRow, FenceToken, PollAnswer, PollCall, RunEnd, RunKey, RunListing, RunNumber,
-    RunningRow, ServerIncarnation, StartAnswer, StartCall, StartRefusal, StopAnswer, StopCall,
+    EndNumber, EndedRow, FenceToken, PollAnswer, PollCall, RunEnd, RunEvent, RunKey, RunListing,
+    RunNumber, RunningRow, ServerIncarnation, StartAnswer, StartCall, StartRefusal, StopAnswer,
+    StopCall,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -31,6 +32,35 @@
     }
 }
 
+/// Call of an agent to its worker.
+#[derive(Debug, Clone)]
+pub enum WorkerCall {
+    Start(StartCall),
+    Stop(StopCall),
+    Poll(PollCall),
+}
+
+impl WorkerCall {
+    /// Event of an agent that gets no answer.
+    pub fn unanswered(&self) -> RunEvent {
+        match self {
+            Self::Start(call) => RunEvent::StartReturned {
+                key: call.key.clone(),
+                fence: call.fence,
+                answer: StartAnswer::Unanswered,
+            },
+            Self::Stop(call) => RunEvent::StopReturned {
+                key: call.key.clone(),
+                fence: call.fence,
+                answer: StopAnswer::Unanswered,
+            },
+            Self::Poll(call) => {
+                RunEvent::PollReturned { number: call.number, answer: PollAnswer::Unanswered }
+            }
+        }
+    }
+}
+
 /// How runs at a worker proceed and end.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct RunBehavior {
@@ -82,11 +112,28 @@
         self.running.iter().cloned().collect()
     }
 
+    /// Executes a call; returns the event with its answer.
+    pub fn execute(&mut self, call: &WorkerCall, now: Duration) -> RunEvent {
+        match call {
+            WorkerCall::Start(start) => {
+                let answer = self.start(start, now);
+                RunEvent::StartReturned { key: start.key.clone(), fence: start.fence, answer }
+            }
+            WorkerCall::Stop(stop) => {
+                let answer = self.stop(stop, now);
+                RunEvent::StopReturned { key: stop.key.clone(), fence: stop.fence, answer }
+            }
+            WorkerCall::Poll(poll) => {
+                RunEvent::PollReturned { number: poll.number, answer: self.poll(poll, now) }
+            }
+        }
+    }
+
     fn extend_lease(&mut self, until: Duration, clock: Duration) {
         self.lease_until = self.lease_until.max(until.min(clock + LONGEST_HOLD));
     }
 
-    pub fn start(&mut self, call: &StartCall, now: Duration) -> StartAnswer {
+    fn start(&mut self, call: &StartCall, now: Duration) -> StartAnswer {
         let clock = self.clock.read(now);
         if call.incarnation.server != self.incarnation.server {
             return StartAnswer::OtherIncarnation;
@@ -114,7 +161,7 @@
         is_newer
     }
 
-    pub fn stop(&mut self, call: &StopCall, now: Duration) -> StopAnswer {
+    fn stop(&mut self, call: &StopCall, now: Duration) -> StopAnswer {
         if call.incarnation.server != self.incarnation.server {
             return StopAnswer::OtherIncarnation;
         }
