--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -295,7 +295,7 @@
     }
 
     /// Ends the quarantines of each service of which no other server is left, so that its servers are
-    /// probed, at most once a [`LIFT_INTERVAL`]; returns those services.
+    /// probed, at most once a `LIFT_INTERVAL`; returns those services.
     ///
     /// If tasks fail on every server, the cause is rather the tasks than the servers, and keeping all
     /// of them away from work serves nobody.
--- a/crates/core/src/directory/run_times.rs
+++ b/crates/core/src/directory/run_times.rs
@@ -137,7 +137,7 @@
     /// Shortest run time of a task that the evidence supports at `now`: the lower one of the run time
     /// that it declares, corrected, and the average of its kind.
     ///
-    /// Measured values older than [`MAX_EVIDENCE_AGE`] are no evidence, so that a wrong one that keeps
+    /// Measured values older than `MAX_EVIDENCE_AGE` are no evidence, so that a wrong one that keeps
     /// work away does not last.
     pub fn shortest(
         &self,
