Split the actor of an entry, and log two errors that it swallowed

The actor's file held three things: the actor and its messages, the execution of its actions, and what entries tell each other. They are three files now; the two appends of records and their encoding stand once.

An unreadable configuration from another entry and an unconfirmed announcement were dropped without a line. They are logged as peer_state_unreadable and append_unconfirmed.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -4,9 +4,11 @@
 //! agents, operators and other entries, and records read from the log, reach the actor as messages.
 //! Spawned tasks execute the actions that the machine returns and report back as messages.
 
+mod actions;
 mod actor;
 mod caller_http;
 mod handle;
+mod known_peers;
 mod log_streams;
 mod membership;
 mod operator_http;
--- a/crates/daemon/src/entry/log_streams.rs
+++ b/crates/daemon/src/entry/log_streams.rs
@@ -1,4 +1,4 @@
-//! Readers of the configuration and claim streams of the log, and the ticker.
+//! Readers of the configuration and claim streams of the log, the encoding of records, and the ticker.
 
 use super::actor::{EntryActor, HandleEvent, TickEntry};
 use super::queries::QueryPosition;
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use parsleyspool_core::entry::{EntryEvent, StreamRead};
 use parsleyspool_core::id::Offset;
+use parsleyspool_wire::codec::CodecError;
 use parsleyspool_wire::record::{CLAIM_STREAM, CONFIG_STREAM, decode_claims, decode_config};
 use std::sync::Arc;
 use std::time::Duration;
@@ -98,3 +99,14 @@
     let last = page.records.last().map(|(offset, _)| offset + 1);
     last.unwrap_or(from.max(page.earliest))
 }
+
+/// Bytes of a record; `None`, with a log line, if it could not be encoded.
+pub(super) fn encoded_record(stream: &str, record: Result<Vec<u8>, CodecError>) -> Option<Bytes> {
+    match record {
+        Ok(bytes) => Some(Bytes::from(bytes)),
+        Err(error) => {
+            tracing::error!(event = "record_unwritable", stream, %error);
+            None
+        }
+    }
+}
--- a/crates/daemon/src/entry/membership.rs
+++ b/crates/daemon/src/entry/membership.rs
@@ -2,10 +2,9 @@
 
 use super::EntryShared;
 use super::actor::EntryActor;
-use super::log_streams::{MAX_RECORDS_PER_READ, READ_RETRY_DELAY};
+use super::log_streams::{MAX_RECORDS_PER_READ, READ_RETRY_DELAY, encoded_record};
 use super::peer_http;
 use super::queries::EndConfigFetch;
-use bytes::Bytes;
 use parsleyspool_core::id::Incarnation;
 use parsleyspool_core::member::{MemberLedger, MemberRecord, MemberStatus};
 use parsleyspool_wire::record::{MEMBER_STREAM, decode_member, encode_member};
@@ -46,8 +45,14 @@
 ) -> bool {
     let entry = shared.settings.name.as_str().into();
     let record = MemberRecord { entry, incarnation, status };
-    let Ok(bytes) = encode_member(&record) else { return true };
-    shared.interfaces.log.append(MEMBER_STREAM, Bytes::from(bytes)).await.is_ok()
+    let Some(bytes) = encoded_record(MEMBER_STREAM, encode_member(&record)) else { return true };
+    match shared.interfaces.log.append(MEMBER_STREAM, bytes).await {
+        Ok(_) => true,
+        Err(report) => {
+            tracing::warn!(event = "append_unconfirmed", stream = MEMBER_STREAM, error = %report);
+            false
+        }
+    }
 }
 
 /// Follows the member stream and publishes the addresses of all entries.
--- a/crates/daemon/src/entry/peer_http.rs
+++ b/crates/daemon/src/entry/peer_http.rs
@@ -1,7 +1,8 @@
 //! HTTP routes for agents, other entries and operators, and the polling of other entries.
 
 use super::EntryShared;
-use super::actor::{EntryActor, HandleHeartbeat, HandlePeerState, QueryPeerState};
+use super::actor::{EntryActor, HandleHeartbeat};
+use super::known_peers::{HandlePeerState, QueryPeerState};
 use super::operator_http;
 use super::queries::{EndConfigFetch, PrepareStateQuery};
 use crate::http::{
