Install the handlers of stop signals before a process serves

What callers saw: a process that was stopped as soon as it listened ended at once and dropped the jobs in progress.

Cause: the handlers were installed only when the process had nothing left to do but wait for them, after it had logged that it listens and had begun to serve. A signal before that ends a process by default.

The two copies of this logic are one.

--- a/crates/cli/src/cmd.rs
+++ b/crates/cli/src/cmd.rs
@@ -15,7 +15,6 @@
 pub mod refusals;
 pub mod server;
 pub mod service;
-mod signal;
 pub mod status;
 pub mod timeline;
 pub mod verify;
--- a/crates/cli/src/cmd/agent.rs
+++ b/crates/cli/src/cmd/agent.rs
@@ -1,12 +1,12 @@
 //! `parsleyspool agent`.
 
-use super::signal::wait_for_stop_signal;
 use crate::error::CommandError;
 use clap::Args;
 use error_stack::{Report, ResultExt};
 use parsleyspool_daemon::agent;
 use parsleyspool_daemon::clock::SystemClock;
 use parsleyspool_daemon::settings::{ProcessSettings, load};
+use parsleyspool_daemon::stop_signals::StopSignals;
 use parsleyspool_daemon::telemetry::logging::LogControl;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -22,6 +22,7 @@
 impl AgentArgs {
     /// Serves until SIGTERM or SIGINT, then finishes the tasks in progress.
     pub async fn run(self) -> Result<(), Report<CommandError>> {
+        let mut signals = StopSignals::open().change_context(CommandError::DaemonFailed)?;
         let settings = load(&self.settings).change_context(CommandError::Input)?;
         let ProcessSettings::Agent(settings) = settings else {
             return Err(Report::new(CommandError::Input)
@@ -33,7 +34,7 @@
         let agent = agent::start(*settings, control, clock).await;
         let agent = agent.change_context(CommandError::DaemonFailed)?.run();
         tracing::info!(event = "listening", peers = %agent.components.address());
-        wait_for_stop_signal().await;
+        signals.received().await;
         let unfinished = agent.begin_drain().await.finish().await.state.unfinished;
         super::drain_result(unfinished)
     }
--- a/crates/cli/src/cmd/entry.rs
+++ b/crates/cli/src/cmd/entry.rs
@@ -1,12 +1,12 @@
 //! `parsleyspool entry`.
 
-use super::signal::wait_for_stop_signal;
 use crate::error::CommandError;
 use clap::Args;
 use error_stack::{Report, ResultExt};
 use parsleyspool_daemon::clock::SystemClock;
 use parsleyspool_daemon::entry;
 use parsleyspool_daemon::settings::{ProcessSettings, load};
+use parsleyspool_daemon::stop_signals::StopSignals;
 use parsleyspool_daemon::telemetry::logging::LogControl;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -22,6 +22,7 @@
 impl EntryArgs {
     /// Serves until SIGTERM or SIGINT, then finishes the jobs in progress.
     pub async fn run(self) -> Result<(), Report<CommandError>> {
+        let mut signals = StopSignals::open().change_context(CommandError::DaemonFailed)?;
         let settings = load(&self.settings).change_context(CommandError::Input)?;
         let ProcessSettings::Entry(settings) = settings else {
             return Err(Report::new(CommandError::Input)
@@ -37,7 +38,7 @@
             callers = %entry.components.caller_address(),
             peers = %entry.components.peer_address()
         );
-        wait_for_stop_signal().await;
+        signals.received().await;
         let unfinished = entry.begin_drain().await.finish().await.state.unfinished;
         super::drain_result(unfinished)
     }
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -20,6 +20,8 @@
     LogFilter,
     /// A metric could not be registered.
     Metrics,
+    /// A signal handler could not be installed.
+    Signals,
 }
 
 impl fmt::Display for DaemonError {
@@ -32,6 +34,7 @@
             Self::Log => "request to the log failed",
             Self::LogFilter => "could not apply the log filter",
             Self::Metrics => "could not register a metric",
+            Self::Signals => "could not install a signal handler",
         })
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod recorder;
 pub mod settings;
 mod stall_detector;
+pub mod stop_signals;
 pub mod telemetry;
 pub mod worker_client;
