--- a/crates/core/src/checker/config.rs
+++ b/crates/core/src/checker/config.rs
@@ -41,7 +41,8 @@
             }
             EventKind::ConfigApplied => check_monotonic(&mut applied, observed, list),
             EventKind::ProcessStopped => {
-                let is_unfinished = |field: &EventField| matches!(field, EventField::Unfinished(count) if *count > 0);
+                let is_unfinished =
+                    |field: &EventField| matches!(field, EventField::Unfinished(1..));
                 if observed.event.fields.iter().any(is_unfinished) {
                     list.add(
                         TimelineInvariant::GracefulStop,
--- a/crates/core/src/directory/run_times.rs
+++ b/crates/core/src/directory/run_times.rs
@@ -157,7 +157,8 @@
         let is_stated = !declared.is_zero();
         let (run_time, source) = if is_stated && corrected.0 < mean.0 { corrected } else { mean };
         let samples = history.run_time.samples();
-        RunTimeEstimate { run_time, source, samples, age: Some(now - history.latest_at) }
+        let age = Some(now.saturating_sub(history.latest_at));
+        RunTimeEstimate { run_time, source, samples, age }
     }
 
     /// Records a run that ended at `now`; returns the ratio of its run time to the previous average,
--- a/crates/core/src/entry/estimate.rs
+++ b/crates/core/src/entry/estimate.rs
@@ -144,7 +144,8 @@
     ) -> Option<(RequestKind, Duration, RunTimeEstimate)> {
         let service = &request.service;
         let estimates = request.task_groups.iter().map(|group| {
-            let (name, (_, declared)) = (&group.task.request_name, spec.demand(&group.task));
+            let name = &group.task.request_name;
+            let (_, declared) = spec.demand(&group.task);
             let estimate = self.run_times.shortest(service, name, declared, now.elapsed);
             (name, declared, estimate)
         });
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -3,9 +3,9 @@
 //! The state machines of this package read no clock; their caller passes a [`Moment`]. It contains
 //! the time since the process started, which is monotonic and used for all limits of this process,
 //! the same time without suspensions, which bounds what runs on another steady clock of the same
-//! machine, and the wall clock, which only orders and labels events. [`HybridClock`] merges the wall clocks of several
-//! processes into timestamps that order the sending of a message before its receipt, even if the
-//! wall clocks disagree.
+//! machine, and the wall clock, which only orders and labels events. [`HybridClock`] merges the wall
+//! clocks of several processes into timestamps that order the sending of a message before its receipt,
+//! even if the wall clocks disagree.
 
 use std::time::Duration;
 
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -8,8 +8,9 @@
 /// Clock of the operating system.
 ///
 /// Elapsed time includes the time for which the machine was suspended, so that leases and deadlines
-/// that ended during the suspension count as expired. Steady time does not include it. The wall clock is read once at the start and
-/// advanced by the elapsed time, so both clocks agree for the lifetime of the process.
+/// that ended during the suspension count as expired. Steady time does not include it. The wall clock
+/// is read once at the start and advanced by the elapsed time, so both clocks agree for the lifetime
+/// of the process.
 #[derive(Debug)]
 pub struct SystemClock {
     start: Instant,
