Know all lapsed runs before one of their tasks is started again

What callers could see: a task running twice at once, in a fleet whose heartbeats are more than 2.15 s apart (over 322 agents at the rate of the deploy file, 21 at the default).

Each start grants a run lease, kept by the incarnation of the agent, and the runs of agents whose leases have lapsed were given up one agent after the other. Giving up a run starts its task again at once, possibly at an agent further down the list, idle and well, whose former lease had lapsed too. The loop then dropped the lease of that new start and gave the task up again. It also went over all tasks once for each lapsed agent, and among many agents each idle one lapses after each heartbeat.

Now the lapsed leases are taken off the record and their tasks collected, in one pass, before the first is handled.

Evidence: a_task_started_again_keeps_its_lease_when_that_of_its_new_agent_ends_at_the_same_time failed before, with each of two tasks given up twice, and passes.

--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -14,6 +14,7 @@
 use crate::time::Moment;
 use crate::timeline::{EventField, EventKind, TimelineEvent, micros};
 use bytes::Bytes;
+use std::collections::HashSet;
 use std::time::Duration;
 
 /// Interval between two status queries about the same task.
@@ -273,23 +274,28 @@
     pub(super) fn query_other_incarnations(&mut self, index: usize, now: Moment) {
         let current = self.directory.get(index).map(ServerRecord::incarnation);
         let others = |(server, addressed)| server == index && Some(addressed) != current;
-        for id in self.sent_tasks(others) {
+        for (_, id) in self.sent_tasks(others) {
             self.schedule_status_query(id, Duration::ZERO, now);
         }
         self.send_due_status_queries(now);
     }
 
-    /// Sorted sent tasks whose server and addressed incarnation satisfy `is_match`.
-    fn sent_tasks(&self, is_match: impl Fn((usize, Incarnation)) -> bool) -> Vec<TaskId> {
-        let sent = self.jobs.values().flat_map(|job| {
-            let tasks = job.tasks.iter().zip(0u32..);
-            let is_sent = |task: &ActiveTask| {
-                task.state() == TaskState::Sent && task.server.is_some_and(&is_match)
-            };
-            let sent = tasks.filter(move |(task, _)| is_sent(task));
-            sent.map(|(_, position)| TaskId::new(job.id, position))
-        });
-        let mut sent: Vec<TaskId> = sent.collect();
+    /// Sent tasks whose server and addressed incarnation satisfy `is_match`, sorted by these.
+    fn sent_tasks(
+        &self,
+        is_match: impl Fn((usize, Incarnation)) -> bool,
+    ) -> Vec<((usize, Incarnation), TaskId)> {
+        let server_of = |task: &ActiveTask| {
+            let is_sent = task.state() == TaskState::Sent;
+            task.server.filter(|server| is_sent && is_match(*server))
+        };
+        let mut sent = Vec::new();
+        for job in self.jobs.values() {
+            for (task, position) in job.tasks.iter().zip(0u32..) {
+                let server = server_of(task);
+                sent.extend(server.map(|server| (server, TaskId::new(job.id, position))));
+            }
+        }
         sent.sort_unstable();
         sent
     }
@@ -298,15 +304,17 @@
     /// so long that all its runs have ended, whatever became of the incarnation.
     pub(super) fn requeue_lapsed_runs(&mut self, now: Moment) {
         let run_lapse = self.limits.run_lapse;
-        let lapsed = self.run_leases.iter().filter(|(_, until)| now.elapsed >= **until + run_lapse);
-        let mut lapsed: Vec<(usize, Incarnation)> = lapsed.map(|(agent, _)| *agent).collect();
-        lapsed.sort_unstable();
-        for agent in lapsed {
-            self.run_leases.remove(&agent);
-            for id in self.sent_tasks(|server| server == agent) {
-                if self.may_requeue_after_lapse(id) {
-                    self.handle_interrupted_run(id, agent.0, InterruptCause::AgentSilent, now);
-                }
+        let is_lapsed = |until: Duration| now.elapsed >= until + run_lapse;
+        let ended = self.run_leases.extract_if(|_, until| is_lapsed(*until));
+        let lapsed: HashSet<(usize, Incarnation)> = ended.map(|(agent, _)| agent).collect();
+        if lapsed.is_empty() {
+            return;
+        }
+        // All of these are known before the first is started again, which may be at another agent of
+        // the set: that start grants it a new lease.
+        for ((index, _), id) in self.sent_tasks(|server| lapsed.contains(&server)) {
+            if self.may_requeue_after_lapse(id) {
+                self.handle_interrupted_run(id, index, InterruptCause::AgentSilent, now);
             }
         }
     }
--- a/crates/core/tests/entry/run_leases.rs
+++ b/crates/core/tests/entry/run_leases.rs
@@ -9,8 +9,8 @@
 use parsleyspool_core::timeline::EventKind;
 use std::time::Duration;
 
-/// Entry that grants run leases of 0.9 s, or of three heartbeat intervals if these are longer, and
-/// may start a task again after a run that ended without a result.
+/// Entry that grants run leases of 0.9 s, and may start a task again after a run that ended without a
+/// result.
 fn leasing_entry() -> EntryMachine {
     let directory = DirectoryLimits {
         silent_after: Duration::from_millis(900),
@@ -186,6 +186,24 @@
     assert_eq!(after_lapse, [living]);
 }
 
+/// Failure: leases of two agents end at the same time, a task of the first is started at the second, and
+/// the lease of that start is dropped with the former one, so the task is started a third time beside it.
+#[test]
+fn a_task_started_again_keeps_its_lease_when_that_of_its_new_agent_ends_at_the_same_time() {
+    let mut machine = entry_among_many_servers();
+    for name in ["s-1", "s-1b"] {
+        let server = ServerReport { name: name.into(), ..report(1, 0, 0) };
+        machine.handle(EntryEvent::Heartbeat(server), at(5));
+    }
+    let first = starts(submit_job(&mut machine, 1, vec![task(None)], 10));
+    let second = starts(submit_job(&mut machine, 2, vec![task(None)], 10));
+
+    let given_up = interrupted(&machine.handle(EntryEvent::Tick, at(1_850)));
+
+    let submissions = [&first, &second].map(|started| started[0].task.submission);
+    assert_eq!(given_up, submissions, "each task is given up once");
+}
+
 /// Failure (review/3): among many servers the run lease grows with their heartbeat interval, and the runs
 /// of a lost entry outlast the time after which its callers submit again.
 #[test]
