--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -169,7 +169,7 @@
     }
 
     /// Slots of running and queued tasks.
-    pub(super) fn load_slots(&self) -> u32 {
+    fn load_slots(&self) -> u32 {
         self.used_capacity.slots.saturating_add(self.queued_slots)
     }
 
--- a/crates/core/src/directory/run_times.rs
+++ b/crates/core/src/directory/run_times.rs
@@ -152,10 +152,12 @@
             let source = EstimateSource::Declared;
             return RunTimeEstimate { run_time: declared, source, samples: 0, age: None };
         };
-        let mean = (history.mean(), EstimateSource::Measured);
-        let corrected = (history.correct(declared), EstimateSource::Corrected);
-        let is_stated = !declared.is_zero();
-        let (run_time, source) = if is_stated && corrected.0 < mean.0 { corrected } else { mean };
+        let (mean, corrected) = (history.mean(), history.correct(declared));
+        let (run_time, source) = if !declared.is_zero() && corrected < mean {
+            (corrected, EstimateSource::Corrected)
+        } else {
+            (mean, EstimateSource::Measured)
+        };
         let samples = history.run_time.samples();
         let age = Some(now.saturating_sub(history.latest_at));
         RunTimeEstimate { run_time, source, samples, age }
--- a/crates/core/src/entry/admission.rs
+++ b/crates/core/src/entry/admission.rs
@@ -28,7 +28,7 @@
 }
 
 /// How an accepted job is handled.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct JobAdmission {
     /// Idempotency key whose claim must be confirmed before the tasks are queued.
     claim: Option<ClaimKey>,
@@ -103,12 +103,10 @@
                 return AdmissionDecision::Refuse(error);
             }
         }
-        let admission = JobAdmission { claim: key, probe: None };
+        let admit = |probe| AdmissionDecision::Admit(JobAdmission { claim: key, probe });
         match self.evaluate_deadline(request, now) {
-            DeadlineDecision::Reachable => AdmissionDecision::Admit(admission),
-            DeadlineDecision::Probe(estimate) => {
-                AdmissionDecision::Admit(JobAdmission { probe: Some(estimate), ..admission })
-            }
+            DeadlineDecision::Reachable => admit(None),
+            DeadlineDecision::Probe(estimate) => admit(Some(estimate)),
             DeadlineDecision::Unreachable(estimate) => {
                 AdmissionDecision::RefuseByEstimate(estimate)
             }
--- a/crates/core/tests/runs/lease_end.rs
+++ b/crates/core/tests/runs/lease_end.rs
@@ -3,6 +3,17 @@
 use super::harness::{RunHarness, incarnation, run_key};
 use parsleyspool_core::run::{StartAnswer, StopAnswer};
 
+/// Asserts that the run is reported as ended once the longest hold has passed on the slowest clock, and
+/// not before.
+fn assert_over_after_longest_hold(mut harness: RunHarness) {
+    harness.advance_ms(1_070);
+    let within_hold = harness.transcript().to_owned();
+    harness.advance_ms(20);
+
+    assert!(!within_hold.contains("finished"), "{within_hold}");
+    assert!(harness.transcript().contains("LeaseExpired"), "{}", harness.transcript());
+}
+
 /// Failure: the former incarnation confirmed a stop, and its successor received the start.
 #[test]
 fn a_run_is_not_reported_as_ended_while_a_restarted_server_accepts_earlier_calls() {
@@ -61,12 +72,7 @@
     harness.run(0);
     harness.answer_start(run_key(0, 1), StartAnswer::Started);
 
-    harness.advance_ms(1_070);
-    let within_hold = harness.transcript().to_owned();
-    harness.advance_ms(20);
-
-    assert!(!within_hold.contains("finished"), "{within_hold}");
-    assert!(harness.transcript().contains("LeaseExpired"), "{}", harness.transcript());
+    assert_over_after_longest_hold(harness);
 }
 
 /// Failure: the bound counts the lease that the agent asks for, and not the longest hold, from the
@@ -82,10 +88,5 @@
     harness.advance_ms(2_000);
     harness.answer_listing_as(Some(2), &[run_key(0, 1), run_key(7, 1)], &[]);
 
-    harness.advance_ms(1_070);
-    let within_hold = harness.transcript().to_owned();
-    harness.advance_ms(20);
-
-    assert!(!within_hold.contains("finished"), "{within_hold}");
-    assert!(harness.transcript().contains("LeaseExpired"), "{}", harness.transcript());
+    assert_over_after_longest_hold(harness);
 }
--- a/crates/daemon/src/entry/known_peers.rs
+++ b/crates/daemon/src/entry/known_peers.rs
@@ -31,6 +31,11 @@
         let others = recent.map(|(name, peer)| (name.clone(), peer.address.clone()));
         others.chain([own]).collect()
     }
+
+    fn record_peer(&mut self, entry: String, address: String, version: Version, now: Moment) {
+        let peer = KnownPeer { address, version, last_seen: now.elapsed };
+        self.known_peers.insert(entry, peer);
+    }
 }
 
 /// State query of another entry, which is recorded as a known peer; the reply is the state of this
@@ -48,9 +53,7 @@
     ) -> PeerStateMessage {
         let now = self.shared.interfaces.clock.now();
         let query = message.0;
-        let peer =
-            KnownPeer { address: query.address, version: query.version, last_seen: now.elapsed };
-        self.known_peers.insert(query.entry, peer);
+        self.record_peer(query.entry, query.address, query.version, now);
         let report = self.machine.peer_report(now);
         let load = self.machine.team_load().iter();
         let load = load.map(|(team, open)| (team.to_string(), *open)).collect();
@@ -78,9 +81,7 @@
         let address = ctx.mailbox().address();
         let answer = message.answer;
         let now = self.shared.interfaces.clock.now();
-        let peer =
-            KnownPeer { address: message.address, version: answer.version, last_seen: now.elapsed };
-        self.known_peers.insert(answer.entry.clone(), peer);
+        self.record_peer(answer.entry.clone(), message.address, answer.version, now);
         let report = answer.report();
         match answer.state.map(TryInto::try_into) {
             Some(Ok(configuration)) => {
