--- a/crates/core/src/entry/limits.rs
+++ b/crates/core/src/entry/limits.rs
@@ -37,8 +37,8 @@
     /// Whether the entry keeps starting tasks under its latest configuration while it is not
     /// confirmed to be in force.
     pub serves_unconfirmed: bool,
-    /// How long tasks may run at an agent after its latest heartbeat that this entry answered; zero
-    /// if they run without a lease.
+    /// How long tasks may run at an agent after the latest start that this entry sent it, or heartbeat
+    /// that this entry answered; zero if they run without a lease.
     pub run_lease: Duration,
     /// Time after the end of `run_lease` by which every run has ended even if the agent died; zero
     /// if no such bound is known.
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -140,8 +140,8 @@
     pub warm_up: Duration,
     /// Whether the entry keeps starting tasks while its configuration is not confirmed.
     pub serves_unconfirmed: bool,
-    /// How long tasks may run after the latest answered heartbeat of their agent; zero if they run
-    /// without a lease.
+    /// How long tasks may run after the latest start at their agent, or heartbeat of it that was
+    /// answered; zero if they run without a lease.
     #[serde(with = "humantime_serde")]
     pub run_lease: Duration,
     /// Time after the end of `run_lease` by which every run has ended; zero if no such bound is
--- a/crates/daemon/src/settings/reference.rs
+++ b/crates/daemon/src/settings/reference.rs
@@ -53,7 +53,11 @@
         "flag",
         "tasks start although the configuration is not confirmed",
     ),
-    row("entry.limits.run_lease", "duration", "how long tasks may run after a heartbeat"),
+    row(
+        "entry.limits.run_lease",
+        "duration",
+        "how long tasks may run after a start or a heartbeat",
+    ),
     row("entry.limits.run_lapse", "duration", "time after run_lease until every run has ended"),
     row("entry.limits.claim_timeout", "duration", "time limit for the log to confirm a claim"),
     row("entry.limits.claim_window", "duration", "age after which an idempotency key is refused"),
