Let no setting of the deploy file end a job that its caller still waits for

Cause: longest_deadline was 8s, since the settings check compares it with the retention of the log even where no claims are kept, and retention is 20 s on the platform. A job with a task of over 8 s was ended with an unknown outcome, while its caller still waited.

The reply to a start is awaited until the deadline of its job, not for the longest deadline, so that starts to silent agents are given up as before.

--- a/crates/core/src/entry/action.rs
+++ b/crates/core/src/entry/action.rs
@@ -29,6 +29,8 @@
         address: PeerAddress,
         /// Task with its permit.
         request: StartRequest,
+        /// Time limit for the reply: what is left until the deadline of the job.
+        timeout: Duration,
     },
     /// Query the status of a start over a new connection.
     QueryStatus {
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -288,7 +288,8 @@
         self.status_queries.insert((query_at, id));
         self.record_run_lease(candidate.index, incarnation, now);
         self.record_event(sent.field(attempt).field(EventField::Version(version)));
-        self.actions.push(EntryAction::Start { address, request });
+        let timeout = deadline.saturating_sub(now.elapsed);
+        self.actions.push(EntryAction::Start { address, request, timeout });
     }
 
     /// Retries a task that is known not to have started, or fails its job.
--- a/crates/daemon/src/entry/actions.rs
+++ b/crates/daemon/src/entry/actions.rs
@@ -46,7 +46,9 @@
             EntryAction::Answer { waiter_id, submission, answer, version } => {
                 self.send_answer(waiter_id, CallerAnswer { submission, answer, version });
             }
-            EntryAction::Start { address: to, request } => self.send_start(to, request, address),
+            EntryAction::Start { address: to, request, timeout } => {
+                self.send_start(to, request, timeout, address);
+            }
             EntryAction::QueryStatus { address: agent, start, sent_at } => {
                 let message = StatusQueryMessage::new(&self.shared.settings.name, start, sent_at);
                 self.send_status_query(agent, start, message, address);
@@ -77,10 +79,15 @@
         }
     }
 
-    fn send_start(&self, agent: PeerAddress, request: StartRequest, address: &WeakAddress<Self>) {
+    fn send_start(
+        &self,
+        agent: PeerAddress,
+        request: StartRequest,
+        timeout: Duration,
+        address: &WeakAddress<Self>,
+    ) {
         let start = request.start_id();
         let message = StartMessage::new(&self.shared.settings.name, request);
-        let timeout = self.shared.settings.limits.longest_deadline;
         let (shared, address) = (self.shared.clone(), address.clone());
         tokio::spawn(async move {
             let result = shared.interfaces.agents.start(agent, message, timeout).await;
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -1,7 +1,7 @@
 //! Checks of parsed settings, such as ranges and relations between settings.
 
 use super::key_line::find_key_line;
-use super::{AgentSettings, BackendSettings, EntrySettings};
+use super::{AgentSettings, BackendSettings, EntrySettings, LogStream};
 use parsleyspool_core::placement::PlacementKind;
 use std::fmt;
 use std::time::Duration;
@@ -106,8 +106,9 @@
         "entry.limits.forget_after",
         "must be longer than entry.limits.silent_after",
     );
+    let has_claims = settings.log.streams.contains(&LogStream::Claims);
     list.require(
-        limits.claim_window + limits.longest_deadline < settings.log.retention,
+        !has_claims || limits.claim_window + limits.longest_deadline < settings.log.retention,
         "entry.limits.claim_window",
         "must be shorter than entry.log.retention minus entry.limits.longest_deadline",
     );
