Prefer servers of the entry's own failure domain by a share of the run time

Cause: a server in another failure domain counts with 1 ms more, so nearly every task goes to whichever server is a little faster, and three of four start requests cross between domains although servers nearby are free.

With the setting cross_domain_percent, a task goes to another domain only if it finishes there earlier by that percentage of its run time. Tests of core, daemon and platform pass.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -202,7 +202,7 @@
             losses: LossHistory::default(),
             run_times: RunTimes::new(),
             run_leases: HashMap::new(),
-            policy: limits.placement.policy(),
+            policy: limits.placement.policy(limits.cross_domain_percent),
             random: ChaCha8Rng::seed_from_u64(seed),
             queue: TeamQueue::new(),
             retry_budget: RetryBudget::new(limits.retry_ratio, limits.retry_reserve),
--- a/crates/core/src/entry/limits.rs
+++ b/crates/core/src/entry/limits.rs
@@ -71,6 +71,9 @@
     pub refusal_appends: u32,
     /// Policy that chooses the server for a task.
     pub placement: PlacementKind,
+    /// Percentage of its run time by which a task has to finish earlier on a server in another
+    /// failure domain to be placed there.
+    pub cross_domain_percent: u32,
     /// Limits of the server directory.
     pub directory: DirectoryLimits,
 }
@@ -106,6 +109,7 @@
             claim_appends: 200,
             refusal_appends: 50,
             placement: PlacementKind::EarliestFinish,
+            cross_domain_percent: 0,
             directory: DirectoryLimits::default(),
         }
     }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -67,10 +67,11 @@
 }
 
 impl PlacementKind {
-    /// Creates a policy of this kind.
-    pub fn policy(self) -> Box<dyn PlacementPolicy> {
+    /// Creates a policy of this kind; `cross_domain_percent` is used by
+    /// [`EarliestFinish`](PlacementKind::EarliestFinish) alone.
+    pub fn policy(self, cross_domain_percent: u32) -> Box<dyn PlacementPolicy> {
         match self {
-            Self::EarliestFinish => Box::new(EarliestFinish),
+            Self::EarliestFinish => Box::new(EarliestFinish { cross_domain_percent }),
             Self::Random => Box::new(RandomServer),
             Self::RoundRobin => Box::new(RoundRobin::default()),
             Self::LeastOutstanding => Box::new(LeastOutstanding),
@@ -79,12 +80,29 @@
     }
 }
 
-/// Time added to the finish time on a server in another failure domain than the entry.
+/// Least time added to the finish time on a server in another failure domain than the entry.
 const CROSS_DOMAIN_COST: Duration = Duration::from_millis(1);
 
 /// Chooses the server where the task is expected to finish first.
+///
+/// A server in another failure domain than the entry is chosen only if the task finishes there
+/// earlier by `cross_domain_percent` of its run time. This saves traffic between failure domains
+/// while the own one has free capacity.
 #[derive(Debug)]
-pub struct EarliestFinish;
+pub struct EarliestFinish {
+    /// Percentage of the run time.
+    pub cross_domain_percent: u32,
+}
+
+impl EarliestFinish {
+    fn cross_domain_cost(&self, candidate: &PlacementCandidate) -> Duration {
+        if candidate.is_same_domain {
+            return Duration::ZERO;
+        }
+        let share = candidate.run_time.saturating_mul(self.cross_domain_percent) / 100;
+        share.max(CROSS_DOMAIN_COST)
+    }
+}
 
 impl PlacementPolicy for EarliestFinish {
     fn choose(
@@ -93,9 +111,7 @@
         _random: &mut ChaCha8Rng,
     ) -> Option<usize> {
         let cost = |candidate: &PlacementCandidate| {
-            let cross_domain_cost =
-                if candidate.is_same_domain { Duration::ZERO } else { CROSS_DOMAIN_COST };
-            candidate.finish_time().saturating_add(cross_domain_cost)
+            candidate.finish_time().saturating_add(self.cross_domain_cost(candidate))
         };
         position_of_min(candidates, cost)
     }
@@ -177,3 +193,40 @@
     let positions = candidates.iter().enumerate();
     positions.min_by_key(|(_, candidate)| key(candidate)).map(|(position, _)| position)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::SeedableRng;
+
+    fn candidate(index: usize, is_same_domain: bool, run_time_ms: u64) -> PlacementCandidate {
+        let run_time = Duration::from_millis(run_time_ms);
+        PlacementCandidate {
+            index,
+            slots: 8,
+            demand: 1,
+            load: 0,
+            own_load: 0,
+            run_time,
+            mean_run_time: run_time,
+            is_same_domain,
+        }
+    }
+
+    fn choose(cross_domain_percent: u32, candidates: &[PlacementCandidate]) -> Option<usize> {
+        let mut policy = PlacementKind::EarliestFinish.policy(cross_domain_percent);
+        policy.choose(candidates, &mut ChaCha8Rng::seed_from_u64(1))
+    }
+
+    /// Guards against traffic between failure domains that saves next to no time, and against work
+    /// that stays on a slow server although a much faster one is free.
+    #[test]
+    fn another_failure_domain_is_chosen_only_if_it_saves_its_share_of_the_run_time() {
+        let little = [candidate(0, true, 100), candidate(1, false, 95)];
+        let much = [candidate(0, true, 100), candidate(1, false, 80)];
+
+        assert_eq!(choose(0, &little), Some(1));
+        assert_eq!(choose(10, &little), Some(0));
+        assert_eq!(choose(10, &much), Some(1));
+    }
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -187,6 +187,9 @@
     pub snapshot_records: u64,
     /// Name of the placement policy, one of [`PlacementKind::ALL`].
     pub placement: String,
+    /// Percentage of its run time by which a task has to finish earlier on a server in another
+    /// failure domain to be placed there.
+    pub cross_domain_percent: u32,
 }
 
 impl Default for EntryLimitSettings {
@@ -223,6 +226,7 @@
             failures_in_row: limits.directory.quarantine.failures_in_row,
             snapshot_records: limits.snapshot_records,
             placement: "earliest_finish".to_owned(),
+            cross_domain_percent: limits.cross_domain_percent,
         }
     }
 }
@@ -344,6 +348,7 @@
             claim_appends: limits.claim_appends,
             refusal_appends: limits.account_appends,
             placement: PlacementKind::from_name(&limits.placement).unwrap_or(defaults.placement),
+            cross_domain_percent: limits.cross_domain_percent,
             directory: DirectoryLimits {
                 silent_after: limits.silent_after,
                 forget_after: limits.forget_after,
