--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -53,6 +53,8 @@
     pub max_failures: u32,
     /// Time within which callers want the complete answer; `None` if the service declares none.
     pub objective: Option<LatencyObjective>,
+    /// Priority of the jobs, 0 first; `None` stands for the lowest priority in use.
+    pub priority: Option<u8>,
 }
 
 impl Default for RequestRule {
@@ -63,6 +65,7 @@
             slots: 1,
             max_failures: 1,
             objective: None,
+            priority: None,
         }
     }
 }
--- a/crates/core/src/entry/limits.rs
+++ b/crates/core/src/entry/limits.rs
@@ -1,6 +1,7 @@
 //! Limits of an entry: admission, retries, leases, claims, rates and retention.
 
 use crate::directory::DirectoryLimits;
+use crate::overload::OverloadPolicy;
 use crate::placement::PlacementKind;
 use std::time::Duration;
 
@@ -71,6 +72,8 @@
     pub refusal_appends: u32,
     /// Policy that chooses the server for a task.
     pub placement: PlacementKind,
+    /// How waiting jobs are served while capacity is short.
+    pub overload: OverloadPolicy,
     /// Limits of the server directory.
     pub directory: DirectoryLimits,
 }
@@ -106,6 +109,7 @@
             claim_appends: 200,
             refusal_appends: 50,
             placement: PlacementKind::EarliestFinish,
+            overload: OverloadPolicy::Arrival,
             directory: DirectoryLimits::default(),
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod lifecycle;
 pub mod member;
 mod named_enum;
+pub mod overload;
 pub mod placement;
 pub mod queue;
 pub mod resources;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -16,6 +16,7 @@
 use error_stack::{Report, ResultExt};
 use parsleyspool_core::directory::{DirectoryLimits, QuarantinePolicy};
 use parsleyspool_core::entry::EntryLimits;
+use parsleyspool_core::overload::OverloadPolicy;
 use parsleyspool_core::placement::PlacementKind;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -187,6 +188,8 @@
     pub snapshot_records: u64,
     /// Name of the placement policy, one of [`PlacementKind::ALL`].
     pub placement: String,
+    /// Name of the overload policy, one of [`OverloadPolicy::ALL`].
+    pub overload: String,
 }
 
 impl Default for EntryLimitSettings {
@@ -223,6 +226,7 @@
             failures_in_row: limits.directory.quarantine.failures_in_row,
             snapshot_records: limits.snapshot_records,
             placement: "earliest_finish".to_owned(),
+            overload: limits.overload.name().to_owned(),
         }
     }
 }
@@ -344,6 +348,7 @@
             claim_appends: limits.claim_appends,
             refusal_appends: limits.account_appends,
             placement: PlacementKind::from_name(&limits.placement).unwrap_or(defaults.placement),
+            overload: OverloadPolicy::from_name(&limits.overload).unwrap_or(defaults.overload),
             directory: DirectoryLimits {
                 silent_after: limits.silent_after,
                 forget_after: limits.forget_after,
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -2,6 +2,7 @@
 
 use super::key_line::find_key_line;
 use super::{AgentSettings, BackendSettings, EntrySettings};
+use parsleyspool_core::overload::OverloadPolicy;
 use parsleyspool_core::placement::PlacementKind;
 use std::fmt;
 use std::time::Duration;
@@ -146,6 +147,12 @@
         "entry.limits.placement",
         &format!("must be one of {}", names.join(", ")),
     );
+    let names: Vec<&str> = OverloadPolicy::ALL.iter().map(|policy| policy.name()).collect();
+    list.require(
+        names.contains(&limits.overload.as_str()),
+        "entry.limits.overload",
+        &format!("must be one of {}", names.join(", ")),
+    );
     list.errors
 }
 
--- a/crates/daemon/src/settings/reference.rs
+++ b/crates/daemon/src/settings/reference.rs
@@ -19,7 +19,7 @@
 }
 
 /// All settings of entries and agents.
-pub const SETTING_TABLE: [SettingRow; 71] = [
+pub const SETTING_TABLE: [SettingRow; 72] = [
     row("entry.name", "text", "name of the entry, reused by its replacement"),
     row("entry.domain", "text", "failure domain that the entry runs in"),
     row("entry.rank", "number", "index among the entries, staggers their republications"),
@@ -95,6 +95,7 @@
         "records after which the configuration is republished",
     ),
     row("entry.limits.placement", "name", "placement policy"),
+    row("entry.limits.overload", "name", "order and refusal of waiting jobs: arrival or priority"),
     row("entry.telemetry.filter", "filter", "log filter at startup"),
     row("entry.telemetry.events", "events", "events retained for the timeline"),
     row("entry.drain", "duration", "longest time that a planned stop waits for open work"),
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -104,11 +104,14 @@
 
 #[test]
 fn all_errors_of_a_file_are_reported_together() {
-    let text = ENTRY.replace("lease: 3s", "lease: 9s\n    attempts: 0\n    placement: fastest");
+    let text = ENTRY.replace(
+        "lease: 3s",
+        "lease: 9s\n    attempts: 0\n    placement: fastest\n    overload: hope",
+    );
 
     let errors = parse_errors(&text);
 
-    assert_eq!(errors.len(), 3, "{errors:?}");
+    assert_eq!(errors.len(), 4, "{errors:?}");
 }
 
 /// Collects the dotted paths of the keys in serialised settings.
