--- a/crates/core/src/entry/limits.rs
+++ b/crates/core/src/entry/limits.rs
@@ -1,6 +1,7 @@
 //! Limits of an entry: admission, retries, leases, claims, rates and retention.
 
 use crate::directory::DirectoryLimits;
+use crate::overload::OverloadPolicy;
 use crate::placement::PlacementKind;
 use std::time::Duration;
 
@@ -74,6 +75,8 @@
     /// Percentage of its run time by which a task has to finish earlier on a server in another
     /// failure domain to be placed there.
     pub cross_domain_percent: u32,
+    /// How waiting jobs are served while capacity is short.
+    pub overload: OverloadPolicy,
     /// Limits of the server directory.
     pub directory: DirectoryLimits,
 }
@@ -110,6 +113,7 @@
             refusal_appends: 50,
             placement: PlacementKind::EarliestFinish,
             cross_domain_percent: 0,
+            overload: OverloadPolicy::Arrival,
             directory: DirectoryLimits::default(),
         }
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -16,6 +16,7 @@
 use error_stack::{Report, ResultExt};
 use parsleyspool_core::directory::{DirectoryLimits, QuarantinePolicy};
 use parsleyspool_core::entry::EntryLimits;
+use parsleyspool_core::overload::OverloadPolicy;
 use parsleyspool_core::placement::PlacementKind;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -190,6 +191,8 @@
     /// Percentage of its run time by which a task has to finish earlier on a server in another
     /// failure domain to be placed there.
     pub cross_domain_percent: u32,
+    /// Name of the overload policy, one of [`OverloadPolicy::ALL`].
+    pub overload: String,
 }
 
 impl Default for EntryLimitSettings {
@@ -227,6 +230,7 @@
             snapshot_records: limits.snapshot_records,
             placement: "earliest_finish".to_owned(),
             cross_domain_percent: limits.cross_domain_percent,
+            overload: limits.overload.name().to_owned(),
         }
     }
 }
@@ -349,6 +353,7 @@
             refusal_appends: limits.account_appends,
             placement: PlacementKind::from_name(&limits.placement).unwrap_or(defaults.placement),
             cross_domain_percent: limits.cross_domain_percent,
+            overload: OverloadPolicy::from_name(&limits.overload).unwrap_or(defaults.overload),
             directory: DirectoryLimits {
                 silent_after: limits.silent_after,
                 forget_after: limits.forget_after,
