Accept a priority for requests in the wire format

RequestRule does not carry it yet: entries drop the value, and it is absent from the configuration that they return.

--- a/crates/wire/src/config.rs
+++ b/crates/wire/src/config.rs
@@ -35,6 +35,10 @@
     /// Time within which callers want the complete answer; `None` if the service declares none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub objective: Option<ObjectiveWire>,
+    /// Priority when capacity is insufficient; 0 is the highest. `None` if the service declares
+    /// none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<u8>,
 }
 
 /// Time within which the complete answer to a job is wanted.
@@ -125,7 +129,7 @@
     /// Creates the properties of a kind of request without a latency objective, whose tasks are run
     /// only once.
     pub fn new(idempotent: bool, run_time: Duration, slots: u32) -> Self {
-        Self { idempotent, run_time, slots, attempts: 1, objective: None }
+        Self { idempotent, run_time, slots, attempts: 1, objective: None, priority: None }
     }
 }
 
@@ -149,6 +153,7 @@
             slots: rule.slots,
             attempts: rule.max_failures,
             objective: rule.objective.map(Into::into),
+            priority: None,
         }
     }
 }
