Measure mixed priorities under load

An experiment declares the priority, latency objective and number of tasks of a request, slots by server, and a periodic demand. The load command puts priorities and objectives into the service before the first job, and states the expiry of the objective as the deadline of a job. Its report has, by priority, the shares on time, late, refused and lost, the goodput, and the time to a refusal.

The same trace is simulated with two disciplines of a central queue: first in, first out, and a clairvoyant one that serves priorities in order and refuses jobs that cannot be on time.

The priorities subcommand writes a Markdown table and an SVG.

--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -23,6 +23,8 @@
     Load(cmd::load::LoadArgs),
     /// Compare the reports of several runs: median and range for each variant.
     Compare(cmd::compare::CompareArgs),
+    /// Write a table and a plot of the results by priority of several runs.
+    Priorities(cmd::priorities::PrioritiesArgs),
     /// Measure how processing time, memory and message sizes grow with the size of the system.
     Cost(cmd::cost::CostArgs),
     /// Run an example backend server.
@@ -38,6 +40,7 @@
             Command::Load(args) => args.run().await,
             Command::Cost(args) => args.run(),
             Command::Compare(args) => args.run(),
+            Command::Priorities(args) => args.run(),
             Command::Backend(args) => args.run().await,
         }
     }
--- a/crates/standins/src/cmd.rs
+++ b/crates/standins/src/cmd.rs
@@ -5,4 +5,5 @@
 pub mod cost;
 pub mod load;
 pub mod log;
+pub mod priorities;
 pub mod run;
--- a/crates/standins/src/cmd/compare.rs
+++ b/crates/standins/src/cmd/compare.rs
@@ -1,7 +1,7 @@
 //! The `compare` subcommand: compares the reports of several runs.
 
 use clap::Args;
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use parsleyspool_standins::error::StandinError;
 use parsleyspool_standins::experiment::report::RunReport;
 use std::collections::BTreeMap;
@@ -35,10 +35,7 @@
     pub fn run(self) -> Result<(), Report<StandinError>> {
         let mut variants: BTreeMap<String, Vec<RunReport>> = BTreeMap::new();
         for directory in &self.directories {
-            let text = std::fs::read_to_string(directory.join("report.json"))
-                .change_context(StandinError::File)
-                .attach_with(|| directory.display().to_string())?;
-            let run = serde_json::from_str(&text).change_context(StandinError::Parse)?;
+            let run = RunReport::load(directory)?;
             let name = directory.file_stem().unwrap_or_default().to_string_lossy();
             variants.entry(name.into_owned()).or_default().push(run);
         }
--- a/crates/standins/src/cmd/load.rs
+++ b/crates/standins/src/cmd/load.rs
@@ -3,8 +3,11 @@
 use clap::Args;
 use error_stack::{Report, ResultExt};
 use parsleyspool_standins::error::StandinError;
+use parsleyspool_standins::experiment::priority_report::PriorityComparison;
 use parsleyspool_standins::experiment::report::ReportInput;
-use parsleyspool_standins::experiment::{ExperimentFile, load_generator, measure, trace};
+use parsleyspool_standins::experiment::{
+    ExperimentFile, configure, load_generator, measure, trace,
+};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -22,6 +25,12 @@
     /// Offered load as a share of the capacity; overrides the one in the file.
     #[arg(long)]
     load: Option<f64>,
+    /// Declare no priorities, for a product version that does not know them.
+    #[arg(long)]
+    no_priorities: bool,
+    /// Only print the results by priority of the simulated disciplines; needs no processes.
+    #[arg(long)]
+    simulate: bool,
 }
 
 /// Time for the entries to write the last refusal records and events.
@@ -34,7 +43,15 @@
         file.seed = self.seed.unwrap_or(file.seed);
         file.load = self.load.unwrap_or(file.load);
         let jobs = trace::generate_trace(&file);
+        if self.simulate {
+            let comparison = PriorityComparison::compute(&file, &jobs, &[]);
+            for line in comparison.iter().flat_map(PriorityComparison::lines) {
+                println!("{line}");
+            }
+            return Ok(());
+        }
         let client = reqwest::Client::new();
+        configure::declare_requests(&client, &file, !self.no_priorities).await?;
         let before = measure::count_messages(&client, &file.operators).await;
         let run = load_generator::submit_trace(&file, &jobs).await?;
         tokio::time::sleep(FLUSH_DELAY).await;
@@ -52,16 +69,20 @@
         let report = input.report();
         print!("{}", report.to_text());
         if let Some(out) = &self.out {
-            write_file(out, "report.txt", report.to_text())?;
+            write_file(out, "report.txt", &report.to_text())?;
             let json = serde_json::to_string_pretty(&report);
-            write_file(out, "report.json", json.change_context(StandinError::Report)?)?;
-            write_file(out, "work.svg", input.throughput_svg()?)?;
+            write_file(out, "report.json", &json.change_context(StandinError::Report)?)?;
+            write_file(out, "work.svg", &input.throughput_svg()?)?;
         }
         Ok(())
     }
 }
 
-fn write_file(directory: &Path, name: &str, text: String) -> Result<(), Report<StandinError>> {
+pub(super) fn write_file(
+    directory: &Path,
+    name: &str,
+    text: &str,
+) -> Result<(), Report<StandinError>> {
     std::fs::create_dir_all(directory).change_context(StandinError::File)?;
     std::fs::write(directory.join(name), text).change_context(StandinError::File)
 }
--- a/crates/standins/src/experiment/file.rs
+++ b/crates/standins/src/experiment/file.rs
@@ -1,8 +1,11 @@
 //! Format of the experiment file.
 
+use super::trace::TraceJob;
 use crate::error::StandinError;
 use crate::yaml::load_yaml;
 use error_stack::Report;
+use parsleyspool_core::config::LatencyObjective;
+use parsleyspool_wire::config::ObjectiveWire;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -41,16 +44,24 @@
     pub load: f64,
     /// Slots per backend server.
     pub slots: u32,
+    /// Slots of each backend server, if they differ; if empty, each has `slots`.
+    #[serde(default)]
+    pub server_slots: Vec<u32>,
     /// Slowdown of each backend server: 1 is nominal speed, 2 is half as fast. Must agree with the
     /// running servers, which do not read this file.
     #[serde(rename = "paces")]
     pub server_slowdowns: Vec<f64>,
-    /// Time allowed for the answer to each job, measured from its arrival at the entry.
+    /// Periodic variation of the arrival rate; constant if absent.
+    #[serde(default)]
+    pub wave: Option<DemandWave>,
+    /// Time allowed for the answer to each job, measured from its arrival at the entry. A job with
+    /// a latency objective has at most the time until its answer is of no use.
     #[serde(with = "humantime_serde")]
     pub deadline: Duration,
     /// Mix of request kinds. All tasks of a job have the same kind.
     pub requests: Vec<RequestMix>,
-    /// Mix of job sizes.
+    /// Mix of job sizes, for requests that do not set `tasks`.
+    #[serde(default)]
     pub sizes: Vec<JobSize>,
     /// Share of the jobs that their clients cancel shortly after submission, from 0 to 1.
     #[serde(default)]
@@ -70,6 +81,35 @@
     pub weight: u32,
     /// Distribution of the run times on a backend server of nominal speed.
     pub run_time: RunTimeModel,
+    /// Number of tasks per job; drawn from `sizes` if absent.
+    #[serde(default)]
+    pub tasks: Option<usize>,
+    /// Priority of the request in the configuration; 0 is the highest.
+    #[serde(default)]
+    pub priority: Option<u8>,
+    /// Latency objective of the request in the configuration.
+    #[serde(default)]
+    pub objective: Option<ObjectiveWire>,
+}
+
+/// Sinusoidal variation of the arrival rate around its mean.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DemandWave {
+    /// Largest deviation from the mean rate, as a share of it: at least 0 and below 1.
+    pub amplitude: f64,
+    /// Time between two peaks.
+    #[serde(with = "humantime_serde")]
+    pub period: Duration,
+}
+
+/// Limits of a job's response time, from its latency objective.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResponseLimits {
+    /// Longest response time of a job that is on time.
+    pub on_time: Duration,
+    /// Response time after which the answer is of no use.
+    pub expiry: Duration,
 }
 
 /// Log-normal distribution of run times, clamped to bounds.
@@ -134,6 +174,37 @@
 
     /// Work that all slots together can do per second, in seconds of run time at nominal speed.
     pub fn capacity(&self) -> f64 {
-        self.server_slowdowns.iter().map(|slowdown| f64::from(self.slots) / slowdown).sum()
+        let servers = self.server_slowdowns.iter().enumerate();
+        servers.map(|(index, slowdown)| f64::from(self.slots_of(index)) / slowdown).sum()
+    }
+
+    /// Whether a request has a priority or a latency objective.
+    pub fn has_objectives(&self) -> bool {
+        self.requests.iter().any(|mix| mix.priority.is_some() || mix.objective.is_some())
+    }
+
+    /// Number of slots of the backend server with this index.
+    pub fn slots_of(&self, server: usize) -> u32 {
+        self.server_slots.get(server).copied().unwrap_or(self.slots)
+    }
+
+    /// Properties of a request kind.
+    pub fn request(&self, name: &str) -> Option<&RequestMix> {
+        self.requests.iter().find(|mix| mix.request == name)
+    }
+
+    /// Limits of the response time of `job`; `None` if its request has no latency objective.
+    pub fn response_limits(&self, job: &TraceJob) -> Option<ResponseLimits> {
+        let objective = LatencyObjective::from(self.request(&job.request)?.objective?);
+        let longest = job.run_times.iter().max().copied().unwrap_or_default();
+        Some(ResponseLimits {
+            on_time: longest + objective.slack(longest),
+            expiry: objective.expires_after(longest),
+        })
+    }
+
+    /// Time that the client of `job` waits for the answer.
+    pub fn deadline_of(&self, job: &TraceJob) -> Duration {
+        self.response_limits(job).map_or(self.deadline, |limits| limits.expiry.min(self.deadline))
     }
 }
--- a/crates/standins/src/experiment/load_generator.rs
+++ b/crates/standins/src/experiment/load_generator.rs
@@ -1,6 +1,7 @@
 //! Open-loop load generator: submits each job of a trace at its intended time, even if earlier jobs
 //! have not been answered.
 
+use super::configure::send_change;
 use super::file::{DomainAction, ExperimentFile, ScheduledAction};
 use super::trace::TraceJob;
 use crate::error::StandinError;
@@ -9,13 +10,11 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use parsleyspool_wire::caller::{ErrorBody, SubmitBody, TaskBody};
 use parsleyspool_wire::config::{ChangeWire, DomainAvailabilityWire};
-use parsleyspool_wire::operator::{ChangeBody, ChangeOutcomeBody, ConfigBody};
 use reqwest::Client;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
-use uuid::Uuid;
 
 /// Outcome of one job as its client sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -119,7 +118,7 @@
         job: format!("{}-{index}", file.name),
         team: file.team.clone(),
         service: file.service.clone(),
-        deadline_ms: u64::try_from(file.deadline.as_millis()).ok(),
+        deadline_ms: u64::try_from(file.deadline_of(job).as_millis()).ok(),
         created_at_ms: u64::try_from((start_wall_clock + job.at).as_millis()).ok(),
         tasks: job.run_times.iter().map(task).collect(),
     }
@@ -181,25 +180,11 @@
     entry: SocketAddr,
     action: &ScheduledAction,
 ) -> Result<(), Report<StandinError>> {
-    let request = client.get(format!("http://{entry}/v1/config"));
-    let response = request.send().await.change_context(StandinError::Request)?;
-    let config: ConfigBody = response.json().await.change_context(StandinError::Request)?;
-    let subject = format!("domain/{}", action.domain);
     let availability = match action.action {
         DomainAction::Out => DomainAvailabilityWire::OutOfService,
         DomainAction::Back => DomainAvailabilityWire::InService,
     };
-    let body = ChangeBody {
-        id: Uuid::new_v4().simple().to_string(),
-        operator: "experiment".to_owned(),
-        base: config.configuration.subjects.get(&subject).copied().unwrap_or(0),
-        change: ChangeWire::SetDomainAvailability { domain: action.domain.clone(), availability },
-    };
-    let request = client.post(format!("http://{entry}/v1/changes")).json(&body);
-    let response = request.send().await.change_context(StandinError::Request)?;
-    let outcome: ChangeOutcomeBody = response.json().await.change_context(StandinError::Request)?;
-    match outcome {
-        ChangeOutcomeBody::Accepted { .. } => Ok(()),
-        other => Err(Report::new(StandinError::Request).attach(format!("{other:?}"))),
-    }
+    let subject = format!("domain/{}", action.domain);
+    let change = ChangeWire::SetDomainAvailability { domain: action.domain.clone(), availability };
+    send_change(client, entry, &subject, change).await.map(|_| ())
 }
--- a/crates/standins/src/experiment/reference.rs
+++ b/crates/standins/src/experiment/reference.rs
@@ -13,11 +13,23 @@
 use std::time::Duration;
 
 /// Simulated backend server.
-#[derive(Debug)]
-struct ReferenceServer {
-    slowdown: f64,
+#[derive(Debug, Clone)]
+pub(super) struct ReferenceServer {
+    pub(super) slowdown: f64,
     /// Time at which each slot becomes free.
-    slots: Vec<Duration>,
+    pub(super) slots: Vec<Duration>,
+}
+
+impl ReferenceServer {
+    /// All backend servers of the experiment, idle.
+    pub(super) fn all(file: &ExperimentFile) -> Vec<Self> {
+        let servers = file.server_slowdowns.iter().enumerate();
+        let servers = servers.map(|(index, &slowdown)| Self {
+            slowdown,
+            slots: vec![Duration::ZERO; file.slots_of(index) as usize],
+        });
+        servers.collect()
+    }
 }
 
 /// Sort key of a task in the central queue: the work of its job, its run time (longest first), and
@@ -28,12 +40,7 @@
 /// intended submission and including the client's delay in both directions.
 pub fn response_times(file: &ExperimentFile, jobs: &[TraceJob]) -> Vec<Duration> {
     let simulated: Vec<&TraceJob> = jobs.iter().filter(|job| !job.is_cancelled).collect();
-    let slots = vec![Duration::ZERO; file.slots as usize];
-    let servers = file
-        .server_slowdowns
-        .iter()
-        .map(|&slowdown| ReferenceServer { slowdown, slots: slots.clone() });
-    let mut servers: Vec<ReferenceServer> = servers.collect();
+    let mut servers = ReferenceServer::all(file);
     let mut completed_at = vec![Duration::ZERO; simulated.len()];
     let mut waiting: BTreeSet<QueueKey> = BTreeSet::new();
     let mut event_times: BinaryHeap<Reverse<Duration>> = BinaryHeap::new();
--- a/crates/standins/src/experiment/report.rs
+++ b/crates/standins/src/experiment/report.rs
@@ -3,10 +3,11 @@
 use super::file::{DomainAction, ExperimentFile};
 use super::load_generator::{ClientOutcome, LoadRun};
 use super::measure::{MessageCounts, busy_share};
+use super::priority_report::PriorityComparison;
 use super::reference::{idle_response_time, response_times};
 use super::trace::TraceJob;
 use crate::error::StandinError;
-use error_stack::Report;
+use error_stack::{Report, ResultExt};
 use hdrhistogram::Histogram;
 use parsleyspool_core::checker::CheckReport;
 use parsleyspool_wire::operator::TimelineBody;
@@ -16,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
+use std::path::Path;
 use std::time::Duration;
 
 /// Percentiles of the job slowdown, accurate to 0.001 or three significant digits, whichever is
@@ -36,6 +38,9 @@
 pub struct RunReport {
     /// Name of the experiment.
     pub name: String,
+    /// Offered load, as a share of the capacity.
+    #[serde(default)]
+    pub load: f64,
     /// Number of counted jobs: those submitted after the warm-up and not cancelled.
     pub jobs: usize,
     /// Number of tasks of all jobs, including those of the warm-up and of cancelled jobs.
@@ -56,6 +61,9 @@
     /// 99th percentile of the time until a client receives a refusal, in milliseconds, including
     /// its delay in both directions.
     pub refusal_p99_ms: f64,
+    /// Results by priority. `None` if no request has a priority or a latency objective.
+    #[serde(default)]
+    pub priorities: Option<PriorityComparison>,
     /// Messages and task results that the entries counted during the run.
     pub messages: MessageCounts,
     /// Wasted messages per task, as defined by [`MessageCounts::wasted`].
@@ -128,6 +136,7 @@
         let offered_work: Duration = counted.clone().map(TraceJob::work).sum();
         RunReport {
             name: file.name.clone(),
+            load: file.load,
             jobs: counted.count(),
             tasks,
             slowdown,
@@ -137,6 +146,7 @@
             offered: offered_work.as_secs_f64() / counted_seconds,
             capacity: file.capacity(),
             refusal_p99_ms: self.refusal_p99(),
+            priorities: PriorityComparison::compute(file, self.jobs, &self.run.results),
             messages: self.messages,
             wasted_per_task: self.messages.wasted() as f64 / tasks.max(1) as f64,
             busy_while_out: self
@@ -187,7 +197,11 @@
     }
 
     /// Times, since the Unix epoch, at which a domain was taken out of service and returned.
+    /// `None` if the servers differ in slots, since timelines do not state the slots of an agent.
     fn out_of_service_window(&self) -> Option<(Duration, Duration)> {
+        if !self.file.server_slots.is_empty() {
+            return None;
+        }
         let at = |wanted: DomainAction| {
             let found = self.run.actions.iter().find(|(action, _)| action.action == wanted);
             found.map(|(_, at)| self.run.start_wall_clock + *at)
@@ -258,6 +272,17 @@
 }
 
 impl RunReport {
+    /// Reads `report.json` in `directory`.
+    ///
+    /// # Errors
+    /// Fails if the file cannot be read or parsed.
+    pub fn load(directory: &Path) -> Result<Self, Report<StandinError>> {
+        let text = std::fs::read_to_string(directory.join("report.json"))
+            .change_context(StandinError::File)
+            .attach_with(|| directory.display().to_string())?;
+        serde_json::from_str(&text).change_context(StandinError::Parse)
+    }
+
     /// Formats the report as the text of `report.txt`.
     pub fn to_text(&self) -> String {
         let mut text = String::new();
@@ -284,6 +309,9 @@
         ));
         line(format!("outcomes {:?}", self.outcomes));
         line(format!("time to a refusal p99={:.1} ms", self.refusal_p99_ms));
+        for text in self.priorities.iter().flat_map(PriorityComparison::lines) {
+            line(text);
+        }
         line(format!("messages {:?} wasted a task={:.4}", self.messages, self.wasted_per_task));
         if let (Some(out), Some(back)) = (self.busy_while_out, self.busy_after_back) {
             line(format!("busy share of the remaining slots={out:.3} after the return={back:.3}"));
