Check a configuration or a list of changes without submitting it

`core::config::check` finds routes that never match, references to unknown services and requests, limits that contradict each other or the limits of an entry, and entries that concern nothing. It calls the route table, the latency objective, the resource comparison and, new, `EntryLimits::allows_deadline`, which admission calls, too.

`wire::config` adds the findings that need the values as written: values that the conversion replaces, subjects that it rejects, names that no submission can have, and changes without effect. Changes are applied with the function of the ledger. It also lists the differences between two configurations.

Nothing that entries do changes.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -12,6 +12,7 @@
 //! therefore never reverts a change that was appended concurrently.
 
 mod change;
+pub mod check;
 mod fetch;
 mod ledger;
 mod republish;
@@ -196,6 +197,12 @@
         self.subject_versions.get(subject).copied().unwrap_or(0)
     }
 
+    /// Configuration after `change`, with the version and the subject versions left as they are.
+    pub fn with_change(mut self, change: ConfigChange) -> Self {
+        self.apply(change);
+        self
+    }
+
     fn apply(&mut self, change: ConfigChange) {
         match change {
             ConfigChange::PutService { name, spec } => {
--- a/crates/core/src/entry/admission.rs
+++ b/crates/core/src/entry/admission.rs
@@ -148,7 +148,7 @@
             return Err(JobError::plain(ErrorKind::UnknownRequest));
         }
         let deadline = request.deadline.unwrap_or(spec.default_deadline);
-        if deadline > self.limits.longest_deadline {
+        if !self.limits.allows_deadline(deadline) {
             let allowed = millis(self.limits.longest_deadline);
             let details =
                 LimitDetails::new(LimitName::LongestDeadlineMs, allowed, millis(deadline));
--- a/crates/core/src/entry/limits.rs
+++ b/crates/core/src/entry/limits.rs
@@ -75,6 +75,13 @@
     pub directory: DirectoryLimits,
 }
 
+impl EntryLimits {
+    /// Whether a job may have `deadline`.
+    pub fn allows_deadline(&self, deadline: Duration) -> bool {
+        deadline <= self.longest_deadline
+    }
+}
+
 impl Default for EntryLimits {
     fn default() -> Self {
         Self {
--- a/crates/wire/src/config.rs
+++ b/crates/wire/src/config.rs
@@ -4,10 +4,14 @@
 //! log contain them in MessagePack.
 
 mod change;
+mod difference;
+mod document;
 
 pub use change::{
     ChangeRecordWire, ChangeWire, DomainAvailabilityWire, InvalidIdentifier, parse_subject,
 };
+pub use difference::{ConfigDifference, config_differences};
+pub use document::{CheckedDocument, ConfigDocument, LocatedFinding, unknown_keys};
 
 use parsleyspool_core::config::{
     Configuration, LatencyObjective, RequestRule, RouteRule, ServiceSpec, TeamQuota,
