Add the command `config check`

It checks a file of changes or a configuration, compares it with a saved configuration (`--against`) or with that of an entry (`--entry`), and prints findings and differences as text or JSON. Warnings alone give the new exit code 9, errors the existing 3. The command sends two read requests at most; a test with a stand-in for the entry checks this.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -18,17 +18,20 @@
     DaemonFailed,
     /// The checker found a violated invariant.
     InvariantViolated,
+    /// A check found warnings, but no errors.
+    Warnings,
 }
 
 impl CommandError {
     /// Every reason with its exit code and meaning.
-    pub const TABLE: [(Self, u8, &'static str); 6] = [
+    pub const TABLE: [(Self, u8, &'static str); 7] = [
         (Self::Input, 3, "a file, setting or answer is wrong"),
         (Self::Unreachable, 4, "a process could not be reached"),
         (Self::Conflict, 5, "another change of the same subject came first"),
         (Self::Unconfirmed, 6, "not confirmed in time; see the list of missing processes"),
         (Self::DaemonFailed, 7, "a daemon could not start, or stopped with unfinished work"),
         (Self::InvariantViolated, 8, "the checker found a violated invariant"),
+        (Self::Warnings, 9, "a check found warnings, but no errors"),
     ];
 
     /// Exit code of the process.
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -1,8 +1,10 @@
 //! Commands that need no running process: help, reference tables, checks and the questionnaire.
 
-use std::io::Write;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
+use std::sync::mpsc::{Receiver, channel};
 
 fn run(arguments: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_parsleyspool"));
@@ -19,7 +21,7 @@
     String::from_utf8(bytes.to_vec()).expect("the output is text")
 }
 
-const COMMANDS: [&[&str]; 20] = [
+const COMMANDS: [&[&str]; 21] = [
     &[],
     &["entry"],
     &["agent"],
@@ -36,6 +38,7 @@
     &["electorate"],
     &["apply"],
     &["config"],
+    &["config", "check"],
     &["status"],
     &["timeline"],
     &["refusals"],
@@ -182,3 +185,80 @@
     assert_eq!(output.status.code(), Some(4));
     assert!(text(&output.stderr).starts_with("parsleyspool: a process could not be reached"));
 }
+
+const CONFIGURATION: &str = r#"{"version": 7, "services": {"tokens": {"team": "harbour",
+    "deadline": "10s", "requests": {"redeem": {"idempotent": false, "run_time": "150ms"}}}},
+    "quotas": {"harbour": {"tasks_in_flight": 100}}, "domains": {"north": "in_service"},
+    "leaving": [], "electorate": ["e1"], "subjects": {}}"#;
+
+/// Stand-in for an entry that answers every request from `CONFIGURATION`, and the first line of
+/// each request that it received.
+fn entry_stand_in() -> (SocketAddr, Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("a bound address");
+    let (sender, requests) = channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let lines = BufReader::new(&stream).lines().map(|line| line.expect("a line"));
+            let lines: Vec<String> = lines.take_while(|line| !line.is_empty()).collect();
+            let process = r#"{"name": "s1", "role": "agent", "address": "", "domain": "south",
+                "worker": "", "state": "up", "version": 7, "heard_ms": 0, "load": 0, "slots": 8}"#;
+            let body = if lines[0].contains("/v1/config") {
+                format!(
+                    r#"{{"entry": "e1", "freshness": "confirmed", "configuration": {CONFIGURATION}}}"#
+                )
+            } else {
+                format!(
+                    r#"{{"name": "e1", "role": "entry", "life": "serving", "version": 7, "queued": 0,
+                    "freshness": "confirmed", "jobs": 0, "processes": [{process}]}}"#
+                )
+            };
+            let length = body.len();
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nconnection: close");
+            write!(stream, "{head}\r\n\r\n{body}").expect("an answer can be sent");
+            if sender.send(lines[0].clone()).is_err() {
+                break;
+            }
+        }
+    });
+    (address, requests)
+}
+
+/// Guards against a check that sends more than reads, and against a wrong text, JSON or exit code
+/// for each outcome: nothing found, warnings, errors and an unreadable file.
+#[test]
+fn a_configuration_is_checked_and_compared_without_sending_a_change() {
+    let directory = std::env::temp_dir().join(format!("parsleyspool-cfg-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).expect("a directory can be made");
+    let write = |name: &str, content: &str| {
+        let path = directory.join(name).display().to_string();
+        std::fs::write(&path, content).expect("a file can be written");
+        path
+    };
+    let base = write("base.json", CONFIGURATION);
+    let changes = "- put_service:\n    name: tokens\n    spec:\n      team: harbour\n      \
+                   deadline: 100ms\n      requests:\n        redeem: {idempotent: false, \
+                   run_time: 150ms, attempts: 3}\n";
+    let warned = write("warned.yaml", changes);
+    let domain = "- order_domain: {domain: east, order: out_of_service}\n";
+    let wrong = write("wrong.yaml", &(changes.replace("100ms", "0s") + domain));
+    let unreadable = write("unreadable.yaml", &changes.replace("run_time", "runtime"));
+    let (address, requests) = entry_stand_in();
+    let address = address.to_string();
+
+    let outputs = [
+        run(&["config", "check", &base]),
+        run(&["config", "check", &warned, "--against", &base]),
+        run(&["config", "check", &wrong, "--entry", &address]),
+        run(&["config", "check", &unreadable, "--json"]),
+    ];
+
+    let codes = outputs.each_ref().map(|output| output.status.code());
+    assert_eq!(codes, [Some(0), Some(9), Some(3), Some(3)]);
+    let printed = outputs.map(|output| text(&output.stdout)).join("---\n");
+    insta::assert_snapshot!(printed.replace(&directory.display().to_string(), "DIRECTORY"));
+    let received: Vec<String> = requests.try_iter().collect();
+    assert_eq!(received, ["GET /v1/status HTTP/1.1", "GET /v1/config HTTP/1.1"]);
+    std::fs::remove_dir_all(&directory).expect("the directory can be removed");
+}
