--- a/crates/cli/tests/platform/process.rs
+++ b/crates/cli/tests/platform/process.rs
@@ -11,6 +11,7 @@
 /// Running entry or agent; dropping it kills the process.
 #[derive(Debug)]
 pub struct PlatformProcess {
+    #[allow(dead_code, reason = "the target `inbound` does not use it")]
     pub name: String,
     log: PathBuf,
     child: Child,
@@ -36,6 +37,12 @@
         log.lines().map(str::to_owned).collect()
     }
 
+    /// Id of the process.
+    #[allow(dead_code, reason = "only the target `inbound` uses it")]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().is_ok_and(|status| status.is_none())
