Limit what clients can make a process hold

Cause: a process read what clients sent as long as it came. Endless heads, empty lines and bodies that stop just short of their end took an entry with 300 such connections from 18 MB to 138 MB, and connections had no limit.

Change: all listeners of a process run on one server module (crates/daemon/src/inbound) with one budget for bytes received of requests that are not answered yet, a limit on connections and on heads, and times for receiving heads and bodies. Beyond the budget, incomplete requests are closed in the order of bytes times age. Complete ones are never cut; a large one beyond three quarters of the budget is answered 503 before its handler sees its end. Idle connections have no time limit and are closed only to make room for a new one. Bodies are collected in segments of 16 KiB. The limits derive from the memory and the descriptors of the machine, which the deploy file fills in.

The time per request was not measured.

--- a/crates/cli/tests/platform/deployment.rs
+++ b/crates/cli/tests/platform/deployment.rs
@@ -171,6 +171,7 @@
             "internalPorts": INTERNAL_PORTS,
             "seeds": seeds.take(3).collect::<Vec<_>>(),
             "bounds": {"graceS": 6},
+            "limits": {"maxFds": 4100, "memoryMb": 160},
             "app": address(WORKER_PORT),
             "platform": {
                 "address": self.subnet.address(STORE_HOST, STORE_PORT).to_string(),
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -19,6 +19,7 @@
 use crate::components::DaemonComponents;
 use crate::error::DaemonError;
 use crate::http::bind_listener;
+use crate::inbound::{self, InboundGuard};
 use crate::interfaces::{ClockSource, EntryClient, TaskRunner};
 use crate::lifecycle::{
     DaemonLifecycle, Draining, ListenerTask, Serving, Starting, StateName, Stopped,
@@ -81,6 +82,8 @@
     pub recorder: Arc<EventRecorder>,
     pub metrics: Arc<DaemonMetrics>,
     pub log_control: LogControl,
+    /// Limits on what clients of all listeners send.
+    pub inbound: Arc<InboundGuard>,
     pub state_name: StateName,
     pub listener_address: SocketAddr,
     /// Makes the agent send heartbeats to all entries immediately.
@@ -154,6 +157,8 @@
     LifecycleCharts::load().change_context(DaemonError::Charts)?;
     let state_name = StateName::starting();
     let entry_directory = EntryDirectory::new(&settings);
+    let limits = settings.inbound.limits(&settings.machine);
+    let inbound = Arc::new(InboundGuard::new(limits, components.metrics.clone()));
     let machine = AgentMachine::new(components.incarnation, settings.agent_limits());
     let shared = Arc::new(AgentShared {
         listener_address: listener.local_addr().change_context(DaemonError::Bind)?,
@@ -162,6 +167,7 @@
         recorder: components.recorder,
         metrics: components.metrics,
         log_control: components.log_control,
+        inbound,
         state_name: state_name.clone(),
         heartbeat_wakeup: Notify::new(),
         renewal_wakeups: RenewalWakeups::default(),
@@ -187,6 +193,11 @@
         self.shared.listener_address
     }
 
+    /// Limits that the listeners of an embedder share with that of the agent.
+    pub fn inbound(&self) -> Arc<InboundGuard> {
+        self.shared.inbound.clone()
+    }
+
     /// Handle through which a listener of the embedder passes on announcements of the backend
     /// server.
     pub fn announcement_handle(&self) -> AnnouncementHandle {
@@ -224,12 +235,13 @@
         let (address, shared) = (daemon.address.clone(), daemon.shared.clone());
         if let Some(listener) = daemon.listener.take() {
             let (stop, stopped) = oneshot::channel::<()>();
-            let server = warp::serve(peer_http::routes(address.clone(), &shared));
-            let server = server.incoming(listener).graceful(async move {
+            let routes = peer_http::routes(address.clone(), &shared);
+            let server = inbound::serve(listener, routes, shared.inbound.clone(), async move {
                 let _ = stopped.await;
             });
-            daemon.http_server = Some(ListenerTask::new(stop, tokio::spawn(server.run())));
+            daemon.http_server = Some(ListenerTask::new(stop, tokio::spawn(server)));
         }
+        daemon.tasks.push(tokio::spawn(shared.inbound.clone().sweep()));
         daemon.tasks.push(tokio::spawn(heartbeat::run_heartbeats(address.clone(), shared)));
         daemon.tasks.push(tokio::spawn(actor::tick(address)));
         self.serve()
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -21,6 +21,7 @@
 use crate::components::DaemonComponents;
 use crate::error::DaemonError;
 use crate::http::bind_listener;
+use crate::inbound::{self, InboundGuard};
 use crate::interfaces::{AgentClient, ClockSource, EntryClient, LogStore};
 use crate::lifecycle::{
     DaemonLifecycle, Draining, ListenerTask, Serving, Starting, StateName, Stopped,
@@ -91,6 +92,8 @@
     pub recorder: Arc<EventRecorder>,
     pub metrics: Arc<DaemonMetrics>,
     pub log_control: LogControl,
+    /// Limits on what clients of all listeners send.
+    pub inbound: Arc<InboundGuard>,
     pub state_name: StateName,
     pub caller_address: SocketAddr,
     pub peer_address: SocketAddr,
@@ -179,6 +182,8 @@
         domain: settings.domain.as_str().into(),
         rank: settings.rank,
     };
+    let limits = settings.inbound.limits(&settings.machine);
+    let inbound = Arc::new(InboundGuard::new(limits, components.metrics.clone()));
     let machine = EntryMachine::new(identity, settings.entry_limits(), incarnation);
     let peer_address = peers.local_addr().change_context(DaemonError::Bind)?;
     let shared = Arc::new(EntryShared {
@@ -190,6 +195,7 @@
         recorder: components.recorder,
         metrics: components.metrics,
         log_control: components.log_control,
+        inbound,
         state_name: state_name.clone(),
         peer_poll_wakeup: Notify::new(),
         routes: watch::Sender::new(Arc::new(RouteTable::default())),
@@ -216,6 +222,11 @@
         EntryHandle::new(self.address.clone(), self.shared.clone())
     }
 
+    /// Limits that the listeners of an embedder share with those of the entry.
+    pub fn inbound(&self) -> Arc<InboundGuard> {
+        self.shared.inbound.clone()
+    }
+
     /// Address of the caller listener.
     pub fn caller_address(&self) -> SocketAddr {
         self.shared.caller_address
@@ -236,17 +247,18 @@
             let handle = EntryHandle::new(address.clone(), shared.clone());
             let routes = caller_http::routes(handle, shared.clone());
             let (stop, stopped) = oneshot::channel::<()>();
-            let server = warp::serve(routes).incoming(listener);
-            let server = server.graceful(async move {
+            let server = inbound::serve(listener, routes, shared.inbound.clone(), async move {
                 let _ = stopped.await;
             });
-            daemon.caller_server = Some(ListenerTask::new(stop, tokio::spawn(server.run())));
+            daemon.caller_server = Some(ListenerTask::new(stop, tokio::spawn(server)));
         }
         if let Some(listener) = daemon.peer_listener.take() {
             let routes = peer_http::routes(address.clone(), &shared);
-            let server = warp::serve(routes).incoming(listener);
-            daemon.tasks.push(tokio::spawn(server.run()));
+            let server =
+                inbound::serve(listener, routes, shared.inbound.clone(), std::future::pending());
+            daemon.tasks.push(tokio::spawn(server));
         }
+        daemon.tasks.push(tokio::spawn(shared.inbound.clone().sweep()));
         let is_followed = |stream| shared.settings.log.streams.contains(&stream);
         if is_followed(LogStream::Config) {
             let reader = log_streams::follow_config(address.clone(), shared.clone());
--- a/crates/daemon/src/entry/operator_http.rs
+++ b/crates/daemon/src/entry/operator_http.rs
@@ -3,7 +3,7 @@
 use super::EntryShared;
 use super::actor::EntryActor;
 use super::queries::{QueryChange, QueryConfig, QueryStatusPage};
-use crate::http::{HttpReply, MAX_OPERATOR_BODY_BYTES, error_reply, json_reply};
+use crate::http::{HttpReply, MAX_OPERATOR_BODY_BYTES, error_reply, json_reply, sized_body};
 use crate::process_http::{self, ProcessContext};
 use bytes::Bytes;
 use parsleyspool_core::config::{ApplyOutcome, ChangeRecord, ConfigRecord};
@@ -42,8 +42,7 @@
     let change_shared = shared.clone();
     let changes = warp::path!("v1" / "changes")
         .and(warp::post())
-        .and(warp::body::content_length_limit(MAX_OPERATOR_BODY_BYTES))
-        .and(warp::body::bytes())
+        .and(sized_body(MAX_OPERATOR_BODY_BYTES))
         .then(move |body| submit_change(body, address.clone(), change_shared.clone()));
     let context = ProcessContext {
         name: shared.settings.name.clone(),
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -49,16 +49,60 @@
     mut body: impl Stream<Item = Result<B, warp::Error>> + Unpin,
     limit: u64,
 ) -> Result<Bytes, BodyError> {
-    let mut bytes = BytesMut::new();
+    let mut segments = BodySegments::default();
     while let Some(chunk) = body.next().await {
         let mut chunk = chunk.map_err(|_| BodyError::Incomplete)?;
-        let size = bytes.len() as u64 + chunk.remaining() as u64;
+        let size = segments.size as u64 + chunk.remaining() as u64;
         if size > limit {
             return Err(BodyError::TooLarge { size });
         }
-        bytes.extend_from_slice(&chunk.copy_to_bytes(chunk.remaining()));
+        segments.append(&mut chunk);
+    }
+    Ok(segments.concat())
+}
+
+/// Largest segment of a body, in bytes.
+const SEGMENT_BYTES: usize = 16 << 10;
+
+/// Body in segments of about the same size. A single buffer that grows would leave gaps of all sizes in
+/// the heap, which then occupies several times what the incomplete bodies do.
+#[derive(Debug, Default)]
+struct BodySegments {
+    full: Vec<BytesMut>,
+    last: BytesMut,
+    size: usize,
+}
+
+impl BodySegments {
+    fn append(&mut self, chunk: &mut impl Buf) {
+        while chunk.has_remaining() {
+            let room = self.last.capacity() - self.last.len();
+            if room == 0 {
+                let capacity = self.size.max(chunk.remaining()).min(SEGMENT_BYTES);
+                let full = std::mem::replace(&mut self.last, BytesMut::with_capacity(capacity));
+                if !full.is_empty() {
+                    self.full.push(full);
+                }
+                continue;
+            }
+            let piece = chunk.chunk();
+            let size = piece.len().min(room);
+            self.last.extend_from_slice(&piece[..size]);
+            chunk.advance(size);
+            self.size += size;
+        }
+    }
+
+    fn concat(self) -> Bytes {
+        if self.full.is_empty() {
+            return self.last.freeze();
+        }
+        let mut bytes = BytesMut::with_capacity(self.size);
+        for segment in self.full.into_iter().chain([self.last]) {
+            bytes.extend_from_slice(&segment);
+        }
+        bytes.freeze()
     }
-    Ok(bytes.freeze())
 }
 
 /// Time after which a client closes an idle connection.
@@ -109,9 +153,25 @@
 
 /// Extracts a body of at most [`MAX_MESSAGE_BYTES`].
 pub fn message_body() -> impl Filter<Extract = (Bytes,), Error = Rejection> + Clone {
-    warp::body::content_length_limit(MAX_MESSAGE_BYTES as u64).and(warp::body::bytes())
+    sized_body(MAX_MESSAGE_BYTES as u64)
+}
+
+/// Extracts a body with a stated length of at most `limit` bytes.
+///
+/// Unlike `warp::body::bytes`, it keeps one buffer for the body and none for each piece received.
+pub fn sized_body(limit: u64) -> impl Filter<Extract = (Bytes,), Error = Rejection> + Clone {
+    let body = warp::body::content_length_limit(limit).and(warp::body::stream());
+    body.and_then(move |body| async move {
+        read_body(body, limit).await.map_err(|_| warp::reject::custom(BodyLost))
+    })
 }
 
+/// The connection failed before the end of a body.
+#[derive(Debug)]
+struct BodyLost;
+
+impl warp::reject::Reject for BodyLost {}
+
 /// Decodes the envelope in a body.
 ///
 /// # Errors
@@ -164,6 +224,8 @@
         (StatusCode::LENGTH_REQUIRED, "the body states no length")
     } else if rejection.find::<MethodNotAllowed>().is_some() {
         (StatusCode::METHOD_NOT_ALLOWED, "the resource does not take this method")
+    } else if rejection.find::<BodyLost>().is_some() {
+        (StatusCode::BAD_REQUEST, "the body is incomplete")
     } else {
         (StatusCode::NOT_FOUND, "no such resource")
     };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod entry;
 pub mod error;
 pub mod http;
+pub mod inbound;
 pub mod interfaces;
 pub mod lifecycle;
 pub mod log_client;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -5,11 +5,13 @@
 
 mod agent;
 mod check;
+mod inbound;
 mod key_line;
 mod reference;
 
 pub use agent::{AgentLimitSettings, AgentSettings, BackendSettings, RunSettings};
 pub use check::{SettingError, check_agent_settings, check_entry_settings};
+pub use inbound::{InboundSettings, MachineSettings};
 pub use reference::{SETTING_TABLE, SettingRow};
 
 use crate::error::DaemonError;
@@ -58,6 +60,12 @@
     /// Limits of the entry; those left out have their defaults.
     #[serde(default)]
     pub limits: EntryLimitSettings,
+    /// Resources of the machine.
+    #[serde(default)]
+    pub machine: MachineSettings,
+    /// Limits on what clients send.
+    #[serde(default)]
+    pub inbound: InboundSettings,
     /// Logging and timeline.
     #[serde(default)]
     pub telemetry: TelemetrySettings,
--- a/crates/daemon/src/settings/agent.rs
+++ b/crates/daemon/src/settings/agent.rs
@@ -1,6 +1,6 @@
 //! Settings of an agent.
 
-use super::{TelemetrySettings, default_drain};
+use super::{InboundSettings, MachineSettings, TelemetrySettings, default_drain};
 use parsleyspool_core::agent::AgentLimits;
 use parsleyspool_core::resources::ResourceAmounts;
 use parsleyspool_core::run::RunLimits;
@@ -41,6 +41,12 @@
     /// Limits of the agent; those left out have their defaults.
     #[serde(default)]
     pub limits: AgentLimitSettings,
+    /// Resources of the machine.
+    #[serde(default)]
+    pub machine: MachineSettings,
+    /// Limits on what clients send.
+    #[serde(default)]
+    pub inbound: InboundSettings,
     /// Logging and timeline.
     #[serde(default)]
     pub telemetry: TelemetrySettings,
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -1,8 +1,10 @@
 //! Checks of parsed settings, such as ranges and relations between settings.
 
+use super::inbound::FILE_DESCRIPTORS;
 use super::key_line::find_key_line;
-use super::{AgentSettings, BackendSettings, EntrySettings};
+use super::{AgentSettings, BackendSettings, EntrySettings, InboundSettings, MachineSettings};
 use parsleyspool_core::placement::PlacementKind;
+use parsleyspool_wire::codec::MAX_MESSAGE_BYTES;
 use std::fmt;
 use std::time::Duration;
 
@@ -140,6 +142,7 @@
         "entry.limits.failure_share",
         "must be above 0 and at most 1",
     );
+    check_inbound("entry", &settings.machine, &settings.inbound, &mut list);
     let names: Vec<&str> = PlacementKind::ALL.iter().map(|kind| kind.name()).collect();
     list.require(
         names.contains(&limits.placement.as_str()),
@@ -165,6 +168,7 @@
         "agent.limits.outcome_kept",
         "must be longer than 5s, the longest lease of an entry",
     );
+    check_inbound("agent", &settings.machine, &settings.inbound, &mut list);
     if let Some(backend) = &settings.backend {
         check_backend(backend, &mut list);
     }
@@ -183,6 +187,52 @@
     list.errors
 }
 
+/// Least memory for received bytes: the largest message between the daemons, and as many legal bodies
+/// as fit into 1 MiB.
+const MIN_INBOUND_BYTES: u64 = MAX_MESSAGE_BYTES as u64 + (1 << 20);
+/// Least size of a read buffer.
+const MIN_HEAD_BYTES: usize = 8 << 10;
+const MAX_HEAD_BYTES: usize = 1 << 20;
+/// Least time for receiving a head or a body, so that a lost segment does not end the request.
+const MIN_RECEIVE_TIME: Duration = Duration::from_secs(1);
+
+fn check_inbound(
+    role: &str,
+    machine: &MachineSettings,
+    inbound: &InboundSettings,
+    list: &mut ErrorList,
+) {
+    let limits = inbound.limits(machine);
+    let mut require = |is_valid, key: &str, message: &str| {
+        list.require(is_valid, &format!("{role}.{key}"), message);
+    };
+    require(
+        machine.descriptors > FILE_DESCRIPTORS + 4,
+        "machine.descriptors",
+        "must be above 204, since 200 are for files",
+    );
+    require(
+        inbound.connections == 0 || inbound.connections + FILE_DESCRIPTORS < machine.descriptors,
+        "inbound.connections",
+        &format!("must be below {role}.machine.descriptors minus 200"),
+    );
+    let memory_key =
+        if inbound.memory_bytes == 0 { "machine.memory_mb" } else { "inbound.memory_bytes" };
+    require(
+        limits.memory_bytes >= MIN_INBOUND_BYTES
+            && limits.memory_bytes <= machine.memory_mb.saturating_mul(1 << 20),
+        memory_key,
+        "must allow for 5242880 bytes of requests, and not more than the machine has",
+    );
+    require(
+        (MIN_HEAD_BYTES..=MAX_HEAD_BYTES).contains(&inbound.head_bytes),
+        "inbound.head_bytes",
+        "must be between 8192 and 1048576",
+    );
+    require(inbound.head_time >= MIN_RECEIVE_TIME, "inbound.head_time", "must be at least 1s");
+    require(inbound.body_time >= MIN_RECEIVE_TIME, "inbound.body_time", "must be at least 1s");
+}
+
 fn check_backend(backend: &BackendSettings, list: &mut ErrorList) {
     list.require(
         backend.url.starts_with("http://"),
--- a/crates/daemon/src/settings/reference.rs
+++ b/crates/daemon/src/settings/reference.rs
@@ -19,7 +19,7 @@
 }
 
 /// All settings of entries and agents.
-pub const SETTING_TABLE: [SettingRow; 71] = [
+pub const SETTING_TABLE: [SettingRow; 85] = [
     row("entry.name", "text", "name of the entry, reused by its replacement"),
     row("entry.domain", "text", "failure domain that the entry runs in"),
     row("entry.rank", "number", "index among the entries, staggers their republications"),
@@ -95,6 +95,13 @@
         "records after which the configuration is republished",
     ),
     row("entry.limits.placement", "name", "placement policy"),
+    row("entry.machine.memory_mb", "MiB", "memory of the process, for the limits below"),
+    row("entry.machine.descriptors", "descriptors", "descriptors that the process may open"),
+    row("entry.inbound.memory_bytes", "bytes", "requests held; 0: an eighth of the memory"),
+    row("entry.inbound.connections", "connections", "most connections; 0: from the machine"),
+    row("entry.inbound.head_bytes", "bytes", "largest head of a request"),
+    row("entry.inbound.head_time", "duration", "longest time for receiving a head"),
+    row("entry.inbound.body_time", "duration", "longest time for receiving a body"),
     row("entry.telemetry.filter", "filter", "log filter at startup"),
     row("entry.telemetry.events", "events", "events retained for the timeline"),
     row("entry.drain", "duration", "longest time that a planned stop waits for open work"),
@@ -128,6 +135,13 @@
     row("agent.limits.outcome_kept", "duration", "how long outcomes are stored for status queries"),
     row("agent.limits.outcomes_kept", "outcomes", "maximum number of stored outcomes"),
     row("agent.limits.answer_bytes", "bytes", "maximum size of all stored answers"),
+    row("agent.machine.memory_mb", "MiB", "memory of the process, for the limits below"),
+    row("agent.machine.descriptors", "descriptors", "descriptors that the process may open"),
+    row("agent.inbound.memory_bytes", "bytes", "requests held; 0: an eighth of the memory"),
+    row("agent.inbound.connections", "connections", "most connections; 0: from the machine"),
+    row("agent.inbound.head_bytes", "bytes", "largest head of a request"),
+    row("agent.inbound.head_time", "duration", "longest time for receiving a head"),
+    row("agent.inbound.body_time", "duration", "longest time for receiving a body"),
     row("agent.telemetry.filter", "filter", "log filter at startup"),
     row("agent.telemetry.events", "events", "events retained for the timeline"),
     row("agent.drain", "duration", "longest time that a planned stop waits for open work"),
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -32,7 +32,7 @@
 }
 
 /// All metrics of the daemons, in the order in which a process registers them.
-pub const METRIC_TABLE: [MetricRow; 7] = [
+pub const METRIC_TABLE: [MetricRow; 8] = [
     MetricRow {
         name: "parsleyspool_events_total",
         kind: "counter",
@@ -73,13 +73,21 @@
         label_values: "kinds of evidence",
         help: "Runs under leases that ended or never started, by what that is concluded from",
     },
+    MetricRow {
+        name: "parsleyspool_inbound_closed_total",
+        kind: "counter",
+        unit: "connections",
+        label: "reason",
+        label_values: "close reasons",
+        help: "Connections closed and requests refused at the limits on what clients send",
+    },
     MetricRow {
         name: "parsleyspool_gauge",
         kind: "gauge",
         unit: "as named",
         label: "quantity",
         label_values: "quantities",
-        help: "Jobs, tasks, servers, refusals and claims held",
+        help: "Jobs, tasks, servers, refusals, claims, connections and received bytes held",
     },
     MetricRow {
         name: "parsleyspool_job_seconds",
@@ -137,6 +145,7 @@
     team_answers: IntCounterVec,
     messages: IntCounterVec,
     run_ends: IntCounterVec,
+    inbound_closed: IntCounterVec,
     gauges: IntGaugeVec,
     job_seconds: Histogram,
 }
@@ -152,8 +161,16 @@
 
     fn register() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let [events, answers, team_answers, messages, run_ends, gauges, job_seconds] =
-            &METRIC_TABLE;
+        let [
+            events,
+            answers,
+            team_answers,
+            messages,
+            run_ends,
+            inbound_closed,
+            gauges,
+            job_seconds,
+        ] = &METRIC_TABLE;
         let counter = |row: &MetricRow| {
             let vec = IntCounterVec::new(Opts::new(row.name, row.help), &[row.label])?;
             registry.register(Box::new(vec.clone()))?;
@@ -161,7 +178,7 @@
         };
         let (events, answers) = (counter(events)?, counter(answers)?);
         let (team_answers, messages) = (counter(team_answers)?, counter(messages)?);
-        let run_ends = counter(run_ends)?;
+        let (run_ends, inbound_closed) = (counter(run_ends)?, counter(inbound_closed)?);
         let gauges = IntGaugeVec::new(Opts::new(gauges.name, gauges.help), &[gauges.label])?;
         registry.register(Box::new(gauges.clone()))?;
         let opts = HistogramOpts::new(job_seconds.name, job_seconds.help);
@@ -174,6 +191,7 @@
             team_answers,
             messages,
             run_ends,
+            inbound_closed,
             gauges,
             job_seconds,
         })
@@ -201,6 +219,12 @@
         self.run_ends.with_label_values(&[evidence.name()]).inc();
     }
 
+    /// Counts a connection that was closed, or a request that was refused, at a limit on what clients
+    /// send.
+    pub fn count_inbound_closed(&self, reason: &'static str) {
+        self.inbound_closed.with_label_values(&[reason]).inc();
+    }
+
     /// Records the response time of a job, from its arrival to its complete answer.
     pub fn observe_response_time(&self, response_time: Duration) {
         self.job_seconds.observe(response_time.as_secs_f64());
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -79,6 +79,30 @@
             "10: entry.limits.claim_window: must be shorter than entry.log.retention minus \
              entry.limits.longest_deadline",
         ),
+        (
+            ENTRY,
+            "    lease: 3s\n",
+            "    lease: 3s\n  machine:\n    descriptors: 200\n",
+            "12: entry.machine.descriptors: must be above 204",
+        ),
+        (
+            ENTRY,
+            "    lease: 3s\n",
+            "    lease: 3s\n  machine:\n    memory_mb: 39\n",
+            "12: entry.machine.memory_mb: must allow for 5242880 bytes",
+        ),
+        (
+            ENTRY,
+            "    lease: 3s\n",
+            "    lease: 3s\n  inbound:\n    connections: 4000\n",
+            "12: entry.inbound.connections: must be below entry.machine.descriptors minus 200",
+        ),
+        (
+            AGENT,
+            "  backend:\n",
+            "  inbound:\n    head_time: 10ms\n  backend:\n",
+            "9: agent.inbound.head_time: must be at least 1s",
+        ),
         (AGENT, "slots: 8", "slots: 0", "11: agent.backend.slots: must be between 1 and 10000"),
         (AGENT, "slots: 8", "slots: eight", "11: "),
         (AGENT, "services: [tokens]", "services: []", "10: agent.backend.services: must name"),
--- a/crates/questionnaire/src/generate.rs
+++ b/crates/questionnaire/src/generate.rs
@@ -3,7 +3,8 @@
 use super::answers::{EntryAnswer, RequestAnswer, ServerAnswer, TeamAnswers, TeamPriority};
 use parsleyspool_daemon::settings::{
     AgentLimitSettings, AgentSettings, BackendSettings, EntryLimitSettings, EntrySettings,
-    ListenSettings, LogSettings, ProcessSettings, TelemetrySettings, default_streams,
+    InboundSettings, ListenSettings, LogSettings, MachineSettings, ProcessSettings,
+    TelemetrySettings, default_streams,
 };
 use parsleyspool_wire::config::{
     ChangeWire, DomainAvailabilityWire, QuotaWire, RequestWire, ServiceWire,
@@ -120,6 +121,8 @@
         },
         peers: others.map(|other| (other.name.clone(), other.peers)).collect(),
         limits: entry_limits(answers),
+        machine: MachineSettings::default(),
+        inbound: InboundSettings::default(),
         telemetry: TelemetrySettings::default(),
         drain: DRAIN_TIMEOUT,
     }
@@ -149,6 +152,8 @@
             queue: server.slots * QUEUE_FACTOR,
             ..AgentLimitSettings::default()
         },
+        machine: MachineSettings::default(),
+        inbound: InboundSettings::default(),
         telemetry: TelemetrySettings::default(),
         drain: DRAIN_TIMEOUT,
     }
--- a/crates/standins/src/embedded.rs
+++ b/crates/standins/src/embedded.rs
@@ -14,7 +14,8 @@
 use parsleyspool_daemon::lifecycle::{DaemonLifecycle, Serving};
 use parsleyspool_daemon::settings::{
     AgentLimitSettings, AgentSettings, BackendSettings, EntryLimitSettings, EntrySettings,
-    ListenSettings, LogSettings, TelemetrySettings, default_streams,
+    InboundSettings, ListenSettings, LogSettings, MachineSettings, TelemetrySettings,
+    default_streams,
 };
 use parsleyspool_daemon::telemetry::logging::LogControl;
 use parsleyspool_wire::config::ChangeWire;
@@ -159,6 +160,8 @@
             },
             peers,
             limits: options.limits.clone(),
+            machine: MachineSettings::default(),
+            inbound: InboundSettings::default(),
             telemetry: TelemetrySettings::default(),
             drain: Duration::from_secs(30),
         }
@@ -238,6 +241,8 @@
                 answer_bytes: 1 << 20,
             }),
             limits: AgentLimitSettings::default(),
+            machine: MachineSettings::default(),
+            inbound: InboundSettings::default(),
             telemetry: TelemetrySettings::default(),
             drain: Duration::from_secs(30),
         };
--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -177,6 +177,8 @@
             ("{{listenAddrs.control}}", address(8166)),
             ("{{app}}", address(8165)),
             ("{{bounds.graceS}}", "6".to_owned()),
+            ("{{limits.memoryMb}}", MEMORY_LIMIT_MIB.to_string()),
+            ("{{limits.maxFds}}", "4096".to_owned()),
             ("{{platform.address}}", self.address(STORE_HOST, 8169).to_string()),
             ("{{platform.keep_s}}", "300".to_owned()),
         ];
