Show overload by priority in metrics, and explore schedules with plans

- Refusals of planned services are counted by limit and priority, waiting jobs are shown by priority, and the room is a quantity of the gauge. job_refused names the rank of the priority.
- A priority is its rank among those that the service declares.
Before, the declared number set the step in the order, so that a priority of 100 put a job a second behind.
- The exploration runs its schedules under both policies.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -45,7 +45,7 @@
 pub use action::EntryAction;
 pub use deadline_probe::RequestKind;
 pub use event::{EntryEvent, ExchangeFailure, StreamRead};
-pub use gauges::EntryGauges;
+pub use gauges::{EntryGauges, PRIORITY_COUNTS};
 pub use limits::EntryLimits;
 pub use messages::{
     AgentDirective, InterruptCause, LoadReport, NotStartedReason, StartId, StartRequest, TaskReply,
--- a/crates/core/src/entry/admission.rs
+++ b/crates/core/src/entry/admission.rs
@@ -249,7 +249,7 @@
         job.wait_limits = self.wait_limits(&job);
         let size_penalty = self.limits.task_queue_penalty * job.task_count();
         job.queue_penalty = job.wait_limits.map_or(size_penalty, |limits| limits.slack);
-        job.priority = self.planned_priority(&job);
+        job.priority = self.priority_rank(&job);
         if let (Some(limits), Some(priority)) = (job.wait_limits, job.priority) {
             job.queue_penalty = urgency(limits.slack, priority);
         }
--- a/crates/core/src/entry/completion.rs
+++ b/crates/core/src/entry/completion.rs
@@ -51,6 +51,8 @@
         let event_kind =
             if job.has_not_started() { EventKind::JobRefused } else { EventKind::JobFailed };
         let ended = TimelineEvent::new(event_kind).submission(id);
+        let ended =
+            job.priority.into_iter().map(EventField::Priority).fold(ended, TimelineEvent::field);
         self.record_job_error(ended, &job.service, &error, now);
         self.abandon_tasks(&mut job);
         self.release_claim(&job);
--- a/crates/core/src/entry/gauges.rs
+++ b/crates/core/src/entry/gauges.rs
@@ -3,6 +3,9 @@
 use super::EntryMachine;
 use crate::job::ActiveJob;
 
+/// Number of priorities that are counted apart.
+pub const PRIORITY_COUNTS: usize = 4;
+
 /// Gauge values for metrics and the status.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct EntryGauges {
@@ -22,6 +25,12 @@
     pub claims: usize,
     /// Other entries that reported within the lease.
     pub peers: usize,
+    /// Waiting jobs of services with overload plans, by the rank of their priority; the last count
+    /// includes all lower ones.
+    pub waiting_by_priority: [usize; PRIORITY_COUNTS],
+    /// Rate at which tasks of the services with waiting jobs and overload plans can be started, in
+    /// slot-milliseconds per second.
+    pub room: u64,
 }
 
 impl EntryMachine {
@@ -36,6 +45,8 @@
             refusals_dropped: self.refusal_buffer.dropped(),
             claims: self.claims.len(),
             peers: self.peer_loads.len(),
+            waiting_by_priority: self.waiting_by_priority(),
+            room: self.planned_room(),
         }
     }
 
--- a/crates/core/src/entry/overload.rs
+++ b/crates/core/src/entry/overload.rs
@@ -9,6 +9,7 @@
 
 use super::admission::millis;
 use super::dispatch::Contention;
+use super::gauges::PRIORITY_COUNTS;
 use super::{EntryMachine, JobFailure};
 use crate::config::ServiceSpec;
 use crate::error::{ErrorKind, LimitDetails, LimitName};
@@ -21,7 +22,7 @@
 use crate::resources::ResourceAmounts;
 use crate::time::Moment;
 use crate::timeline::{EventField, EventKind, TimelineEvent};
-use backlog::Backlog;
+use backlog::{Backlog, MAX_PLANNED_JOBS};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -33,8 +34,8 @@
 /// Planned services, and those that had a backlog lately.
 #[derive(Debug, Default)]
 pub(super) struct OverloadControl {
-    /// Lowest priority of each planned service.
-    lowest_priorities: HashMap<ServiceName, u8>,
+    /// Priorities that each planned service declares, in ascending order.
+    priorities: HashMap<ServiceName, Vec<u8>>,
     services: HashMap<ServiceName, ServiceOverload>,
 }
 
@@ -56,12 +57,13 @@
     refused: u64,
 }
 
-/// Lowest priority of a service that declares at least two and an objective for every request.
-fn lowest_priority(spec: &ServiceSpec) -> Option<u8> {
+/// Priorities of a service that declares at least two and an objective for every request, in ascending
+/// order.
+fn planned_priorities(spec: &ServiceSpec) -> Option<Vec<u8>> {
     let has_objectives = spec.requests.values().all(|rule| rule.objective.is_some());
     let priorities: BTreeSet<u8> =
         spec.requests.values().filter_map(|rule| rule.priority).collect();
-    if has_objectives && priorities.len() > 1 { priorities.last().copied() } else { None }
+    (has_objectives && priorities.len() > 1).then(|| priorities.into_iter().collect())
 }
 
 impl EntryMachine {
@@ -72,10 +74,10 @@
         }
         let services = self.ledger.configuration().services.iter();
         let planned =
-            services.filter_map(|(name, spec)| Some((name.clone(), lowest_priority(spec)?)));
-        let planned: HashMap<ServiceName, u8> = planned.collect();
+            services.filter_map(|(name, spec)| Some((name.clone(), planned_priorities(spec)?)));
+        let planned: HashMap<ServiceName, Vec<u8>> = planned.collect();
         self.overload.services.retain(|name, _| planned.contains_key(name));
-        self.overload.lowest_priorities = planned;
+        self.overload.priorities = planned;
         let is_left = |job: &&ActiveJob| job.is_delayed() && !self.is_planned(&job.service);
         let left: Vec<SubmissionId> =
             self.jobs.values().filter(is_left).map(|job| job.id).collect();
@@ -86,24 +88,49 @@
 
     /// Whether plans decide about the waiting jobs of `service`.
     pub(super) fn is_planned(&self, service: &str) -> bool {
-        self.overload.lowest_priorities.contains_key(service)
+        self.overload.priorities.contains_key(service)
     }
 
-    /// Priority of a job of a planned service: the highest one of its requests.
-    pub(super) fn planned_priority(&self, job: &ActiveJob) -> Option<u8> {
-        let lowest = *self.overload.lowest_priorities.get(&job.service)?;
+    /// Rank of the priority of a job among those of its service, 0 for the highest; `None` if the
+    /// service is not planned. The highest one of its requests decides.
+    pub(super) fn priority_rank(&self, job: &ActiveJob) -> Option<u8> {
+        let priorities = self.overload.priorities.get(&job.service)?;
         let spec = self.ledger.configuration().services.get(&job.service)?;
         let rules =
             job.tasks.iter().filter_map(|task| spec.requests.get(&task.request.request_name));
-        Some(rules.filter_map(|rule| rule.priority).min().unwrap_or(lowest))
+        let highest = rules.filter_map(|rule| rule.priority).min();
+        let is_highest = |priority: &u8| Some(*priority) == highest;
+        let rank = priorities.iter().position(is_highest).unwrap_or(priorities.len() - 1);
+        u8::try_from(rank).ok()
+    }
+
+    /// Waiting jobs of the planned services, by the rank of their priority; the last count includes
+    /// all lower ones.
+    pub(super) fn waiting_by_priority(&self) -> [usize; PRIORITY_COUNTS] {
+        let mut counts = [0; PRIORITY_COUNTS];
+        for service in self.overload.priorities.keys() {
+            for id in self.queue.waiting_jobs(service, MAX_PLANNED_JOBS) {
+                let rank = self.jobs.get(&id).and_then(|job| job.priority).unwrap_or(u8::MAX);
+                counts[usize::from(rank).min(PRIORITY_COUNTS - 1)] += 1;
+            }
+        }
+        counts
+    }
+
+    /// Room of all planned services at their latest plan, in slot-milliseconds per second; 0 for a
+    /// service without waiting jobs.
+    pub(super) fn planned_room(&self) -> u64 {
+        let services = self.overload.services.iter();
+        let waiting = services.filter(|(name, _)| self.queue.service_len(name) > 0);
+        waiting.map(|(_, service)| (service.room * 1e3) as u64).sum()
     }
 
     /// Plans every service with waiting jobs, and ends overload that has passed.
     pub(super) fn plan_all(&mut self, now: Moment) {
-        if self.overload.lowest_priorities.is_empty() {
+        if self.overload.priorities.is_empty() {
             return;
         }
-        let names: Vec<ServiceName> = self.overload.lowest_priorities.keys().cloned().collect();
+        let names: Vec<ServiceName> = self.overload.priorities.keys().cloned().collect();
         for name in names {
             self.plan_service(&name, now);
             self.update_state(&name, YieldCounts::default(), 0.0, 0, now);
--- a/crates/core/src/entry/overload/backlog.rs
+++ b/crates/core/src/entry/overload/backlog.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// Largest number of jobs in a plan; further jobs, which are served last, wait.
-const MAX_PLANNED_JOBS: usize = 512;
+pub(super) const MAX_PLANNED_JOBS: usize = 512;
 /// Jobs of a plan, with what the plan is based on.
 pub(super) struct Backlog {
     pub ids: Vec<SubmissionId>,
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -245,7 +245,7 @@
     pub wait_limits: Option<WaitLimits>,
     /// Kind of request whose run time estimate the job tests, if it was admitted for that.
     pub probed_kind: Option<RequestKind>,
-    /// Priority of the job if overload plans apply to its service, 0 first.
+    /// Rank of the priority of the job if overload plans apply to its service, 0 for the highest.
     pub priority: Option<u8>,
     /// Time at which the priority class is evaluated again.
     pub reclassify_at: Option<Duration>,
--- a/crates/core/src/timeline/field.rs
+++ b/crates/core/src/timeline/field.rs
@@ -99,6 +99,8 @@
     Room(u64),
     /// Number of waiting jobs.
     Waiting(u64),
+    /// Rank of the priority of a job, 0 for the highest.
+    Priority(u8),
     /// Number of jobs that wait behind those in time.
     Delayed(u64),
     /// Number of refused jobs.
@@ -145,6 +147,7 @@
             Self::BacklogMs(value) => write!(f, "backlog_ms={value}"),
             Self::Room(value) => write!(f, "room={value}"),
             Self::Waiting(value) => write!(f, "waiting={value}"),
+            Self::Priority(value) => write!(f, "priority={value}"),
             Self::Delayed(value) => write!(f, "delayed={value}"),
             Self::Refused(value) => write!(f, "refused={value}"),
             Self::ReportAgeMs(value) => write!(f, "report_age_ms={value}"),
@@ -190,6 +193,7 @@
             "backlog_ms" => number().map(Self::BacklogMs),
             "room" => number().map(Self::Room),
             "waiting" => number().map(Self::Waiting),
+            "priority" => value.parse().ok().map(Self::Priority),
             "delayed" => number().map(Self::Delayed),
             "refused" => number().map(Self::Refused),
             "report_age_ms" => number().map(Self::ReportAgeMs),
--- a/crates/core/tests/explore/cluster.rs
+++ b/crates/core/tests/explore/cluster.rs
@@ -19,7 +19,7 @@
 use parsleyspool_core::claim::ClaimStep;
 use parsleyspool_core::config::{
     ChangeRecord, ConfigChange, ConfigLedger, ConfigRecord, ConfigSubject, DomainAvailability,
-    RequestRule, ServiceSpec, TeamQuota,
+    LatencyObjective, RequestRule, ServiceSpec, TeamQuota,
 };
 use parsleyspool_core::directory::ServerReport;
 use parsleyspool_core::entry::{
@@ -28,6 +28,7 @@
 };
 use parsleyspool_core::id::TaskId;
 use parsleyspool_core::job::{JobAnswer, JobRequest, TaskGroup, TaskRequest};
+use parsleyspool_core::overload::OverloadPolicy;
 use parsleyspool_core::resources::ResourceAmounts;
 use parsleyspool_core::time::{HybridClock, Moment};
 use parsleyspool_core::timeline::{EventField, EventKind, TimelineEvent};
@@ -115,6 +116,7 @@
 
 pub struct SimulatedCluster {
     fault: PlantedFault,
+    overload: OverloadPolicy,
     now: Duration,
     entries: Vec<EntryProcess>,
     agents: Vec<AgentProcess>,
@@ -147,8 +149,9 @@
     counters: ClusterCounters,
 }
 
-fn entry_limits() -> EntryLimits {
-    EntryLimits { max_attempts: 3, heartbeat: Duration::from_millis(500), ..EntryLimits::default() }
+fn entry_limits(overload: OverloadPolicy) -> EntryLimits {
+    let heartbeat = Duration::from_millis(500);
+    EntryLimits { max_attempts: 3, heartbeat, overload, ..EntryLimits::default() }
 }
 
 fn domain_of(index: usize) -> Arc<str> {
@@ -156,9 +159,10 @@
 }
 
 impl SimulatedCluster {
-    pub fn new(fault: PlantedFault) -> Self {
+    pub fn new(fault: PlantedFault, overload: OverloadPolicy) -> Self {
         let mut cluster = Self {
             fault,
+            overload,
             now: Duration::from_secs(10),
             entries: Vec::new(),
             agents: Vec::new(),
@@ -193,8 +197,16 @@
     }
 
     fn configure(&mut self) {
+        let is_planned = self.overload == OverloadPolicy::Priority;
+        let objective = LatencyObjective {
+            stretch_percent: 160,
+            allowance: Duration::from_millis(60),
+            expiry_percent: 300,
+        };
         let rule = |idempotent| RequestRule {
             idempotent,
+            objective: is_planned.then_some(objective),
+            priority: is_planned.then_some(u8::from(!idempotent)),
             run_time: Duration::from_millis(50),
             ..RequestRule::default()
         };
@@ -206,7 +218,9 @@
         let entries = names.collect();
         self.append_change(ConfigChange::SetElectorate { entries });
         self.append_change(ConfigChange::PutService { name: "s".into(), spec });
-        let quota = TeamQuota { tasks_in_flight: 12, weight: 1 };
+        // Plans need more waiting jobs than the small quota admits.
+        let tasks_in_flight = if is_planned { 100 } else { 12 };
+        let quota = TeamQuota { tasks_in_flight, weight: 1 };
         self.append_change(ConfigChange::SetQuota { team: "t".into(), quota });
         for entry in 0..ENTRIES {
             self.read_log(entry);
@@ -233,7 +247,7 @@
         };
         EntryProcess {
             name: identity.name.clone(),
-            machine: EntryMachine::new(identity, entry_limits(), incarnation),
+            machine: EntryMachine::new(identity, entry_limits(self.overload), incarnation),
             clock: HybridClock::default(),
             epoch: self.now,
             is_paused: false,
--- a/crates/core/tests/explore/cluster/report.rs
+++ b/crates/core/tests/explore/cluster/report.rs
@@ -2,6 +2,7 @@
 
 use super::SimulatedCluster;
 use parsleyspool_core::checker::{GracePeriods, InvariantViolation, ObservedEvent, check};
+use parsleyspool_core::timeline::EventKind;
 use std::fmt;
 use std::fmt::Write as _;
 
@@ -16,6 +17,8 @@
     pub crashes: usize,
     pub lost: usize,
     pub duplicated: usize,
+    /// Times that an entry became overloaded.
+    pub overloads: usize,
 }
 
 impl ClusterCounters {
@@ -28,6 +31,7 @@
         self.crashes += other.crashes;
         self.lost += other.lost;
         self.duplicated += other.duplicated;
+        self.overloads += other.overloads;
     }
 }
 
@@ -35,7 +39,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "submissions={} starts={} complete={} refused={} failed={} crashes={} lost={} duplicated={}",
+            "submissions={} starts={} complete={} refused={} failed={} crashes={} lost={} duplicated={} \
+             overloads={}",
             self.submissions,
             self.starts,
             self.complete,
@@ -43,7 +48,8 @@
             self.failed,
             self.crashes,
             self.lost,
-            self.duplicated
+            self.duplicated,
+            self.overloads
         )
     }
 }
@@ -55,7 +61,11 @@
 
     pub fn counters(&self) -> ClusterCounters {
         let report = check(&self.events, GracePeriods::default());
-        ClusterCounters { submissions: report.submissions, starts: report.starts, ..self.counters }
+        let is_entered =
+            |observed: &&ObservedEvent| observed.event.kind == EventKind::OverloadEntered;
+        let overloads = self.events.iter().filter(is_entered).count();
+        let (submissions, starts) = (report.submissions, report.starts);
+        ClusterCounters { submissions, starts, overloads, ..self.counters }
     }
 
     pub fn violations(&self) -> Vec<InvariantViolation> {
--- a/crates/core/tests/explore/main.rs
+++ b/crates/core/tests/explore/main.rs
@@ -14,6 +14,7 @@
 use cluster::SimulatedCluster;
 use fault::PlantedFault;
 use parsleyspool_core::checker::TimelineInvariant;
+use parsleyspool_core::overload::OverloadPolicy;
 use proptest::collection::vec;
 use proptest::prelude::any;
 use proptest::strategy::{Strategy, ValueTree};
@@ -38,8 +39,12 @@
     TestRunner::new_with_rng(config, rng)
 }
 
-fn run_schedule(steps: &[(u8, u8, u8)], fault: PlantedFault) -> SimulatedCluster {
-    let mut cluster = SimulatedCluster::new(fault);
+fn run_schedule(
+    steps: &[(u8, u8, u8)],
+    fault: PlantedFault,
+    overload: OverloadPolicy,
+) -> SimulatedCluster {
+    let mut cluster = SimulatedCluster::new(fault, overload);
     for &step in steps {
         cluster.execute(step);
     }
@@ -49,6 +54,18 @@
 
 #[test]
 fn no_schedule_violates_an_invariant() {
+    assert_no_violation(OverloadPolicy::Arrival);
+}
+
+/// Guards against a delayed or refused job that is answered twice, or whose answer says that nothing ran
+/// although a task did.
+#[test]
+fn no_schedule_with_overload_plans_violates_an_invariant() {
+    let totals = assert_no_violation(OverloadPolicy::Priority);
+    assert!(totals.overloads > 0, "no schedule had an overload");
+}
+
+fn assert_no_violation(overload: OverloadPolicy) -> cluster::ClusterCounters {
     let schedules = from_environment("PARSLEYSPOOL_SCHEDULES", DEFAULT_SCHEDULES);
     let seed = from_environment("PARSLEYSPOOL_SEED", DEFAULT_SEED);
     let visited_states = RefCell::new(HashSet::new());
@@ -56,7 +73,7 @@
     let steps = vec(any::<(u8, u8, u8)>(), STEP_COUNT);
 
     let result = runner(schedules, seed).run(&steps, |steps| {
-        let cluster = run_schedule(&steps, PlantedFault::None);
+        let cluster = run_schedule(&steps, PlantedFault::None, overload);
         visited_states.borrow_mut().extend(cluster.visited_states());
         totals.borrow_mut().add(&cluster.counters());
         match cluster.violations().first() {
@@ -66,7 +83,7 @@
     });
 
     println!(
-        "schedules={schedules} seed={seed} distinct_states={} {}",
+        "{overload:?} schedules={schedules} seed={seed} distinct_states={} {}",
         visited_states.borrow().len(),
         totals.borrow()
     );
@@ -75,6 +92,7 @@
         Err(TestError::Fail(reason, steps)) => panic!("{} steps: {reason}", steps.len()),
         Err(error) => panic!("{error}"),
     }
+    totals.into_inner()
 }
 
 /// Schedules run before a planted fault counts as not caught.
@@ -85,7 +103,7 @@
     let steps = vec(any::<(u8, u8, u8)>(), STEP_COUNT);
     (0..PLANTED_FAULT_SCHEDULES).any(|_| {
         let tree = steps.new_tree(&mut runner).expect("steps can be generated");
-        let cluster = run_schedule(&tree.current(), fault);
+        let cluster = run_schedule(&tree.current(), fault, OverloadPolicy::Arrival);
         cluster.violations().iter().any(|violation| violation.invariant == invariant)
     })
 }
--- a/crates/daemon/src/recorder.rs
+++ b/crates/daemon/src/recorder.rs
@@ -47,7 +47,7 @@
 
     /// Stamps `event` with the current time and records it.
     pub fn record(&self, event: TimelineEvent) {
-        self.metrics.count_event(event.kind);
+        self.metrics.count_event(&event);
         let is_debug_event = is_debug_event(&event);
         let is_written = !is_debug_event || tracing::enabled!(tracing::Level::DEBUG);
         let now = self.clock.now();
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -6,9 +6,9 @@
 
 use crate::error::DaemonError;
 use error_stack::{Report, ResultExt};
-use parsleyspool_core::entry::EntryGauges;
+use parsleyspool_core::entry::{EntryGauges, PRIORITY_COUNTS};
 use parsleyspool_core::run::EndEvidence;
-use parsleyspool_core::timeline::EventKind;
+use parsleyspool_core::timeline::{EventField, EventKind, TimelineEvent};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
@@ -32,7 +32,7 @@
 }
 
 /// All metrics of the daemons, in the order in which a process registers them.
-pub const METRIC_TABLE: [MetricRow; 7] = [
+pub const METRIC_TABLE: [MetricRow; 9] = [
     MetricRow {
         name: "parsleyspool_events_total",
         kind: "counter",
@@ -73,6 +73,22 @@
         label_values: "kinds of evidence",
         help: "Runs under leases that ended or never started, by what that is concluded from",
     },
+    MetricRow {
+        name: "parsleyspool_refusals_total",
+        kind: "counter",
+        unit: "jobs",
+        label: "limit_priority",
+        label_values: "limits and ranks of priorities",
+        help: "Refused jobs of services with overload plans",
+    },
+    MetricRow {
+        name: "parsleyspool_waiting_jobs",
+        kind: "gauge",
+        unit: "jobs",
+        label: "priority",
+        label_values: "ranks of priorities, 0 to 3",
+        help: "Waiting jobs of services with overload plans",
+    },
     MetricRow {
         name: "parsleyspool_gauge",
         kind: "gauge",
@@ -137,6 +153,8 @@
     team_answers: IntCounterVec,
     messages: IntCounterVec,
     run_ends: IntCounterVec,
+    refusals: IntCounterVec,
+    waiting: IntGaugeVec,
     gauges: IntGaugeVec,
     job_seconds: Histogram,
 }
@@ -152,8 +170,17 @@
 
     fn register() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let [events, answers, team_answers, messages, run_ends, gauges, job_seconds] =
-            &METRIC_TABLE;
+        let [
+            events,
+            answers,
+            team_answers,
+            messages,
+            run_ends,
+            refusals,
+            waiting,
+            gauges,
+            job_seconds,
+        ] = &METRIC_TABLE;
         let counter = |row: &MetricRow| {
             let vec = IntCounterVec::new(Opts::new(row.name, row.help), &[row.label])?;
             registry.register(Box::new(vec.clone()))?;
@@ -162,8 +189,13 @@
         let (events, answers) = (counter(events)?, counter(answers)?);
         let (team_answers, messages) = (counter(team_answers)?, counter(messages)?);
         let run_ends = counter(run_ends)?;
-        let gauges = IntGaugeVec::new(Opts::new(gauges.name, gauges.help), &[gauges.label])?;
-        registry.register(Box::new(gauges.clone()))?;
+        let refusals = counter(refusals)?;
+        let gauge = |row: &MetricRow| {
+            let vec = IntGaugeVec::new(Opts::new(row.name, row.help), &[row.label])?;
+            registry.register(Box::new(vec.clone()))?;
+            Ok::<_, prometheus::Error>(vec)
+        };
+        let (waiting, gauges) = (gauge(waiting)?, gauge(gauges)?);
         let opts = HistogramOpts::new(job_seconds.name, job_seconds.help);
         let job_seconds = Histogram::with_opts(opts.buckets(JOB_TIME_BUCKETS.to_vec()))?;
         registry.register(Box::new(job_seconds.clone()))?;
@@ -174,14 +206,19 @@
             team_answers,
             messages,
             run_ends,
+            refusals,
+            waiting,
             gauges,
             job_seconds,
         })
     }
 
     /// Counts an event of the timeline.
-    pub fn count_event(&self, kind: EventKind) {
-        self.events.with_label_values(&[kind.name()]).inc();
+    pub fn count_event(&self, event: &TimelineEvent) {
+        self.events.with_label_values(&[event.kind.name()]).inc();
+        if event.kind == EventKind::JobRefused {
+            self.count_refusal(event);
+        }
     }
 
     /// Counts an answer of `kind` to a caller of `team`; `None`, for a team that is not configured
@@ -201,6 +238,24 @@
         self.run_ends.with_label_values(&[evidence.name()]).inc();
     }
 
+    /// Counts a refused job of a service with overload plans. Priorities from the last rank on that is
+    /// counted apart share a label.
+    fn count_refusal(&self, event: &TimelineEvent) {
+        let mut fields = event.fields.iter();
+        let limit = fields.clone().find_map(|field| match field {
+            EventField::Limit(limit) => Some(limit.name()),
+            _ => None,
+        });
+        let priority = fields.find_map(|field| match field {
+            EventField::Priority(priority) => Some(*priority),
+            _ => None,
+        });
+        let Some(priority) = priority else { return };
+        let limit = limit.unwrap_or("none");
+        let rank = usize::from(priority).min(PRIORITY_COUNTS - 1);
+        self.refusals.with_label_values(&[format!("{limit}/{rank}")]).inc();
+    }
+
     /// Records the response time of a job, from its arrival to its complete answer.
     pub fn observe_response_time(&self, response_time: Duration) {
         self.job_seconds.observe(response_time.as_secs_f64());
@@ -217,10 +272,15 @@
             ("refusals_dropped", gauges.refusals_dropped),
             ("claims", gauges.claims as u64),
             ("peers", gauges.peers as u64),
+            ("room", gauges.room),
         ];
         for (quantity, value) in rows {
             self.set_gauge(quantity, value);
         }
+        for (rank, jobs) in gauges.waiting_by_priority.into_iter().enumerate() {
+            let jobs = i64::try_from(jobs).unwrap_or(i64::MAX);
+            self.waiting.with_label_values(&[rank.to_string()]).set(jobs);
+        }
     }
 
     /// Sets the gauge of one quantity, where values above `i64::MAX` are capped.
