--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -6,9 +6,9 @@
 
 use crate::error::DaemonError;
 use error_stack::{Report, ResultExt};
-use parsleyspool_core::entry::EntryGauges;
+use parsleyspool_core::entry::{EntryGauges, PRIORITY_COUNTS};
 use parsleyspool_core::run::EndEvidence;
-use parsleyspool_core::timeline::EventKind;
+use parsleyspool_core::timeline::{EventField, EventKind, TimelineEvent};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
@@ -32,7 +32,7 @@
 }
 
 /// All metrics of the daemons, in the order in which a process registers them.
-pub const METRIC_TABLE: [MetricRow; 8] = [
+pub const METRIC_TABLE: [MetricRow; 10] = [
     MetricRow {
         name: "parsleyspool_events_total",
         kind: "counter",
@@ -81,6 +81,22 @@
         label_values: "close reasons",
         help: "Connections closed and requests refused at the limits on what clients send",
     },
+    MetricRow {
+        name: "parsleyspool_refusals_total",
+        kind: "counter",
+        unit: "jobs",
+        label: "limit_priority",
+        label_values: "limits and ranks of priorities",
+        help: "Refused jobs of services with overload plans",
+    },
+    MetricRow {
+        name: "parsleyspool_waiting_jobs",
+        kind: "gauge",
+        unit: "jobs",
+        label: "priority",
+        label_values: "ranks of priorities, 0 to 3",
+        help: "Waiting jobs of services with overload plans",
+    },
     MetricRow {
         name: "parsleyspool_gauge",
         kind: "gauge",
@@ -146,6 +162,8 @@
     messages: IntCounterVec,
     run_ends: IntCounterVec,
     inbound_closed: IntCounterVec,
+    refusals: IntCounterVec,
+    waiting: IntGaugeVec,
     gauges: IntGaugeVec,
     job_seconds: Histogram,
 }
@@ -168,6 +186,8 @@
             messages,
             run_ends,
             inbound_closed,
+            refusals,
+            waiting,
             gauges,
             job_seconds,
         ] = &METRIC_TABLE;
@@ -181,6 +201,14 @@
         let (run_ends, inbound_closed) = (counter(run_ends)?, counter(inbound_closed)?);
         let gauges = IntGaugeVec::new(Opts::new(gauges.name, gauges.help), &[gauges.label])?;
         registry.register(Box::new(gauges.clone()))?;
+        let run_ends = counter(run_ends)?;
+        let refusals = counter(refusals)?;
+        let gauge = |row: &MetricRow| {
+            let vec = IntGaugeVec::new(Opts::new(row.name, row.help), &[row.label])?;
+            registry.register(Box::new(vec.clone()))?;
+            Ok::<_, prometheus::Error>(vec)
+        };
+        let (waiting, gauges) = (gauge(waiting)?, gauge(gauges)?);
         let opts = HistogramOpts::new(job_seconds.name, job_seconds.help);
         let job_seconds = Histogram::with_opts(opts.buckets(JOB_TIME_BUCKETS.to_vec()))?;
         registry.register(Box::new(job_seconds.clone()))?;
@@ -192,14 +220,19 @@
             messages,
             run_ends,
             inbound_closed,
+            refusals,
+            waiting,
             gauges,
             job_seconds,
         })
     }
 
     /// Counts an event of the timeline.
-    pub fn count_event(&self, kind: EventKind) {
-        self.events.with_label_values(&[kind.name()]).inc();
+    pub fn count_event(&self, event: &TimelineEvent) {
+        self.events.with_label_values(&[event.kind.name()]).inc();
+        if event.kind == EventKind::JobRefused {
+            self.count_refusal(event);
+        }
     }
 
     /// Counts an answer of `kind` to a caller of `team`; `None`, for a team that is not configured
@@ -223,6 +256,22 @@
     /// send.
     pub fn count_inbound_closed(&self, reason: &'static str) {
         self.inbound_closed.with_label_values(&[reason]).inc();
+    /// Counts a refused job of a service with overload plans. Priorities from the last rank on that is
+    /// counted apart share a label.
+    fn count_refusal(&self, event: &TimelineEvent) {
+        let mut fields = event.fields.iter();
+        let limit = fields.clone().find_map(|field| match field {
+            EventField::Limit(limit) => Some(limit.name()),
+            _ => None,
+        });
+        let priority = fields.find_map(|field| match field {
+            EventField::Priority(priority) => Some(*priority),
+            _ => None,
+        });
+        let Some(priority) = priority else { return };
+        let limit = limit.unwrap_or("none");
+        let rank = usize::from(priority).min(PRIORITY_COUNTS - 1);
+        self.refusals.with_label_values(&[format!("{limit}/{rank}")]).inc();
     }
 
     /// Records the response time of a job, from its arrival to its complete answer.
@@ -241,10 +290,15 @@
             ("refusals_dropped", gauges.refusals_dropped),
             ("claims", gauges.claims as u64),
             ("peers", gauges.peers as u64),
+            ("room", gauges.room),
         ];
         for (quantity, value) in rows {
             self.set_gauge(quantity, value);
         }
+        for (rank, jobs) in gauges.waiting_by_priority.into_iter().enumerate() {
+            let jobs = i64::try_from(jobs).unwrap_or(i64::MAX);
+            self.waiting.with_label_values(&[rank.to_string()]).set(jobs);
+        }
     }
 
     /// Sets the gauge of one quantity, where values above `i64::MAX` are capped.
