State the work that still waits when overload ends

overload_left stated a backlog and a number of waiting jobs of zero even if jobs were waiting that the plan keeps. It now states those of the latest plan.

--- a/crates/core/src/entry/overload.rs
+++ b/crates/core/src/entry/overload.rs
@@ -48,6 +48,8 @@
     /// Job that waits although it should be refused, to notice when capacity is free again.
     probe: Option<SubmissionId>,
     room: f64,
+    /// Work of the waiting jobs at the latest plan.
+    backlog: SlotSeconds,
 }
 
 /// Number of jobs that a plan delayed and refused.
@@ -133,7 +135,7 @@
         let names: Vec<ServiceName> = self.overload.priorities.keys().cloned().collect();
         for name in names {
             self.plan_service(&name, now);
-            self.update_state(&name, YieldCounts::default(), 0.0, 0, now);
+            self.update_state(&name, YieldCounts::default(), now);
         }
         self.overload.services.retain(|_, service| {
             service.state.is_overloaded() || now.elapsed < service.planned_at + HISTORY_RETENTION
@@ -166,6 +168,7 @@
             planned_at: now.elapsed,
             probe: None,
             room: 0.0,
+            backlog: 0.0,
         });
         control.planned_at = now.elapsed;
         control.history.advance(now.elapsed);
@@ -177,8 +180,9 @@
         }
         let supply = Supply { room: control.room, history: &control.history };
         let plan = OverloadPlan::compute(&backlog.jobs, supply, now.elapsed);
+        control.backlog = plan.backlog;
         let counts = self.apply_plan(service, &backlog, &plan, now);
-        self.update_state(service, counts, plan.backlog, backlog.jobs.len() as u64, now);
+        self.update_state(service, counts, now);
     }
 
     /// Dispatches queued tasks while a server has free capacity for one of them. A placement looks at
@@ -272,14 +276,7 @@
     }
 
     /// Updates the state of `service` and records an event if it changes.
-    fn update_state(
-        &mut self,
-        service: &ServiceName,
-        counts: YieldCounts,
-        backlog: SlotSeconds,
-        waiting: u64,
-        now: Moment,
-    ) {
+    fn update_state(&mut self, service: &ServiceName, counts: YieldCounts, now: Moment) {
         let Some(control) = self.overload.services.get_mut(service) else { return };
         let has_yielded = counts.delayed + counts.refused > 0;
         let Some(transition) = control.state.update(has_yielded, now.elapsed) else { return };
@@ -287,6 +284,8 @@
             OverloadTransition::Entered => EventKind::OverloadEntered,
             OverloadTransition::Left => EventKind::OverloadLeft,
         };
+        let waiting = self.queue.waiting_jobs(service, MAX_PLANNED_JOBS).len() as u64;
+        let backlog = if waiting == 0 { 0.0 } else { control.backlog };
         let event = TimelineEvent::new(kind)
             .subject(service)
             .field(EventField::BacklogMs((backlog * 1e3) as u64))
