--- a/crates/core/src/entry/overload.rs
+++ b/crates/core/src/entry/overload.rs
@@ -135,6 +135,7 @@
         let names: Vec<ServiceName> = self.overload.priorities.keys().cloned().collect();
         for name in names {
             self.plan_service(&name, now);
+            self.restart_idle_rates(&name, now);
             self.update_state(&name, YieldCounts::default(), now);
         }
         self.overload.services.retain(|_, service| {
@@ -142,6 +143,16 @@
         });
     }
 
+    /// Measures the rates of `service` anew once nothing waits.
+    fn restart_idle_rates(&mut self, service: &str, now: Moment) {
+        if self.queue.service_len(service) > 0 {
+            return;
+        }
+        if let Some(control) = self.overload.services.get_mut(service) {
+            control.history.restart_rates(now.elapsed);
+        }
+    }
+
     /// Decides about the waiting jobs of `service`, unless that was done just before.
     pub(super) fn plan_service(&mut self, service: &ServiceName, now: Moment) {
         if !self.is_planned(service) || self.queue.service_len(service) == 0 {
@@ -172,9 +183,9 @@
         });
         control.planned_at = now.elapsed;
         control.history.advance(now.elapsed);
-        // The measured rate corrects a share that is too low, for example that of an entry whose
-        // jobs have just arrived.
-        control.room = capacity.max(control.history.rate());
+        // Servers cannot use all their slots for tasks of different sizes, and entries do not get
+        // equal shares, so the rate at which the backlog is served is the better evidence.
+        control.room = control.history.rate().unwrap_or(capacity);
         if control.room <= 0.0 {
             return;
         }
--- a/crates/core/src/overload/history.rs
+++ b/crates/core/src/overload/history.rs
@@ -40,6 +40,13 @@
         }
     }
 
+    /// Measures rates from `now` on. While nothing waits, they show the demand and not the capacity.
+    pub fn restart_rates(&mut self, now: Duration) {
+        self.since = now;
+        self.served = 0.0;
+        self.served_on_time = 0.0;
+    }
+
     /// Lets the sums decay until `now`.
     pub fn advance(&mut self, now: Duration) {
         let passed = now.saturating_sub(self.updated_at).as_secs_f64();
@@ -76,9 +83,9 @@
         (work.offered, work.served)
     }
 
-    /// Work started per second.
-    pub fn rate(&self) -> f64 {
-        self.per_second(self.served)
+    /// Work started per second; `None` until it was measured for `MIN_RATE_TIME`.
+    pub fn rate(&self) -> Option<f64> {
+        Some(self.per_second(self.served)).filter(|rate| *rate > 0.0)
     }
 
     /// Work of jobs in time started per second.
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -256,6 +256,8 @@
     /// send.
     pub fn count_inbound_closed(&self, reason: &'static str) {
         self.inbound_closed.with_label_values(&[reason]).inc();
+    }
+
     /// Counts a refused job of a service with overload plans. Priorities from the last rank on that is
     /// counted apart share a label.
     fn count_refusal(&self, event: &TimelineEvent) {
