--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -199,9 +199,6 @@
         let (events, answers) = (counter(events)?, counter(answers)?);
         let (team_answers, messages) = (counter(team_answers)?, counter(messages)?);
         let (run_ends, inbound_closed) = (counter(run_ends)?, counter(inbound_closed)?);
-        let gauges = IntGaugeVec::new(Opts::new(gauges.name, gauges.help), &[gauges.label])?;
-        registry.register(Box::new(gauges.clone()))?;
-        let run_ends = counter(run_ends)?;
         let refusals = counter(refusals)?;
         let gauge = |row: &MetricRow| {
             let vec = IntGaugeVec::new(Opts::new(row.name, row.help), &[row.label])?;
