Correct comments about overload plans

The comment on the rate left out that no work may have started, the one on the history named a time without waiting jobs, and the ones on admission and planning did not match when a plan is made.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -13,12 +13,12 @@
 //!
 //! One submodule handles each step of a job: `admission` and `idempotency` decide whether it is
 //! accepted, `estimate` whether it can meet its deadline, `deadline_probe` which job tests that,
-//! `priority`, `load_shedding` and `overload` what happens while it waits, `dispatch` places and retries its
-//! tasks, `outcome` handles the replies of agents, `crash_limit` gives up tasks that crash their
-//! servers, and `completion` answers the job; `refusal_event` records why a job or a task was turned
-//! away. `resume` holds back starts after the process stood still. `heartbeat` handles the reports of
-//! agents, `control_plane` configuration, claims and other entries, and `gauges` counts for metrics
-//! and readiness.
+//! `priority`, `load_shedding` and `overload` what happens while it waits, `dispatch` places and
+//! retries its tasks, `outcome` handles the replies of agents, `crash_limit` gives up tasks that crash
+//! their servers, and `completion` answers the job; `refusal_event` records why a job or a task was
+//! turned away. `resume` holds back starts after the process stood still. `heartbeat` handles the
+//! reports of agents, `control_plane` configuration, claims and other entries, and `gauges` counts for
+//! metrics and readiness.
 
 mod action;
 mod admission;
--- a/crates/core/src/entry/estimate.rs
+++ b/crates/core/src/entry/estimate.rs
@@ -105,9 +105,10 @@
 
     /// Estimates when the last task of `request` would finish; `None` if it has no task.
     ///
-    /// The open tasks of the team at all entries run first. While those run, smaller jobs may
-    /// overtake this one, which delays it by at most its queue penalty. For the sum of many tasks the
-    /// average is the best estimate, whatever each declares; one task may be far from it.
+    /// The open tasks of the team at all entries run first, unless overload plans decide about the
+    /// service. While those run, smaller jobs may overtake this one, which delays it by at most its
+    /// queue penalty. For the sum of many tasks the average is the best estimate, whatever each
+    /// declares; one task may be far from it.
     fn estimate_completion(
         &self,
         request: &JobRequest,
@@ -126,7 +127,7 @@
         let count = saturated(request.task_count()).max(1);
         let mean =
             if capacity.mean_run_time.is_zero() { work / count } else { capacity.mean_run_time };
-        // In a planned service, jobs with a lower priority do not run first; the plan decides.
+        // Open jobs with a lower priority do not run first, so the plan decides after admission.
         let is_planned = self.is_planned(&request.service);
         let open_tasks = if is_planned { 0 } else { self.open_tasks_of(&request.team) };
         let wait = mean.saturating_mul(open_tasks);
--- a/crates/core/src/entry/overload.rs
+++ b/crates/core/src/entry/overload.rs
@@ -1,8 +1,8 @@
 //! Overload control: plans which waiting jobs of a service are kept, delayed or refused.
 //!
 //! A service is planned if [`OverloadPolicy::Priority`] is set, it declares at least two priorities,
-//! and every request has a latency objective. A plan is made when a job arrives and others wait, and
-//! on the tick. It never delays or refuses a job while a server has free capacity for it, nor one
+//! and every request has a latency objective. A plan is made when an arriving job cannot start at once,
+//! and on the tick. It never delays or refuses a job while a server has free capacity for it, nor one
 //! whose run time is only declared.
 
 mod backlog;
@@ -28,10 +28,10 @@
 
 /// Shortest time between two plans of a service; it bounds their cost.
 const PLAN_INTERVAL: Duration = Duration::from_millis(20);
-/// Time without waiting jobs after which the history of a service is dropped.
+/// Time since the latest plan of a service after which its history is dropped.
 const HISTORY_RETENTION: Duration = Duration::from_secs(30);
 
-/// Planned services, and those that had a backlog lately.
+/// Declared priorities of the planned services, and the state of those with a recent plan.
 #[derive(Debug, Default)]
 pub(super) struct OverloadControl {
     /// Priorities that each planned service declares, in ascending order.
@@ -47,6 +47,7 @@
     planned_at: Duration,
     /// Job that waits although it should be refused, to notice when capacity is free again.
     probe: Option<SubmissionId>,
+    /// Rate at which tasks could be started at the latest plan, in slot-seconds per second.
     room: f64,
     /// Work of the waiting jobs at the latest plan.
     backlog: SlotSeconds,
@@ -107,7 +108,7 @@
     }
 
     /// Waiting jobs of the planned services, by the rank of their priority; the last count includes
-    /// all lower ones.
+    /// all lower ones. At most [`MAX_PLANNED_JOBS`] of each service are counted.
     pub(super) fn waiting_by_priority(&self) -> [usize; PRIORITY_COUNTS] {
         let mut counts = [0; PRIORITY_COUNTS];
         for service in self.overload.priorities.keys() {
@@ -183,8 +184,8 @@
         });
         control.planned_at = now.elapsed;
         control.history.advance(now.elapsed);
-        // Servers cannot use all their slots for tasks of different sizes, and entries do not get
-        // equal shares, so the rate at which the backlog is served is the better evidence.
+        // The estimate is too high when servers cannot fill all their slots with tasks of different
+        // sizes, and assumes that this entry gets its share, so a measured rate takes precedence.
         control.room = control.history.rate().unwrap_or(capacity);
         if control.room <= 0.0 {
             return;
--- a/crates/core/src/entry/overload/backlog.rs
+++ b/crates/core/src/entry/overload/backlog.rs
@@ -12,7 +12,8 @@
 
 /// Largest number of jobs in a plan; further jobs, which are served last, wait.
 pub(super) const MAX_PLANNED_JOBS: usize = 512;
-/// Time that a start takes beyond the estimate: the agent queues the task until a running one ends.
+/// Time by which plans advance the latest start, since the agent queues a task that was sent until a
+/// running one ends.
 const START_DELAY: Duration = Duration::from_millis(20);
 
 /// Jobs of a plan, with what the plan is based on.
--- a/crates/core/src/overload/history.rs
+++ b/crates/core/src/overload/history.rs
@@ -21,6 +21,7 @@
 /// Exponentially decaying sums of the work of a service at one entry.
 #[derive(Debug, Clone)]
 pub struct WorkHistory {
+    /// Start of the measurement of the rates.
     since: Duration,
     updated_at: Duration,
     priorities: BTreeMap<u8, PriorityWork>,
@@ -40,7 +41,8 @@
         }
     }
 
-    /// Measures rates from `now` on. While nothing waits, they show the demand and not the capacity.
+    /// Measures the rates anew from `now` on, for example because nothing waited before: they then
+    /// showed the demand and not the capacity.
     pub fn restart_rates(&mut self, now: Duration) {
         self.since = now;
         self.served = 0.0;
@@ -83,7 +85,8 @@
         (work.offered, work.served)
     }
 
-    /// Work started per second; `None` until it was measured for `MIN_RATE_TIME`.
+    /// Work started per second; `None` until it was measured for `MIN_RATE_TIME` and some work has
+    /// started.
     pub fn rate(&self) -> Option<f64> {
         Some(self.per_second(self.served)).filter(|rate| *rate > 0.0)
     }
--- a/crates/core/src/overload/plan.rs
+++ b/crates/core/src/overload/plan.rs
@@ -13,11 +13,11 @@
 
 /// Share of its offered work below which a priority does not yield to another one.
 const LEAST_SHARE: f64 = 0.25;
-/// Latest start by which a priority goes before the next lower one. It decides between jobs of about
-/// the same urgency, and is shorter than the slack of the shortest ones.
+/// Time by which each rank of priority moves a job back in the order of latest starts. It decides
+/// between jobs of about the same urgency, and is shorter than the slack of the shortest jobs.
 const PRIORITY_STEP: Duration = Duration::from_millis(10);
-/// Least share of the room that delayed jobs are expected to get. It only bounds their expected
-/// start; with less, no time to wait would be useful.
+/// Least share of the room that delayed jobs are expected to get, so that their expected start is
+/// defined even when jobs in time take all of the room.
 const LEAST_SPARE: f64 = 0.01;
 /// Bounds of the time after which a refused job may be submitted again.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(4));
@@ -60,7 +60,7 @@
     pub allowed: Duration,
     /// Time until the job would start.
     pub expected: Duration,
-    /// Time until the backlog is gone, in whole seconds.
+    /// Time until the backlog is gone, in whole seconds and within the bounds of `RETRY_AFTER`.
     pub retry_after: Duration,
 }
 
@@ -209,7 +209,9 @@
 /// Delayed jobs in their order, which get the room that kept jobs leave.
 #[derive(Debug)]
 struct DelayedQueue {
+    /// Seconds until all kept work has started.
     kept_time: f64,
+    /// Slot-seconds per second that are left for delayed jobs.
     spare: f64,
     /// Work of the delayed jobs so far.
     work: SlotSeconds,
