Correct comments about inbound limits

The comment on idle connections had the advantage of served ones reversed, and the one on bodies named a single buffer. Divisors are called so.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -158,7 +158,8 @@
 
 /// Extracts a body with a stated length of at most `limit` bytes.
 ///
-/// Unlike `warp::body::bytes`, it keeps one buffer for the body and none for each piece received.
+/// Unlike `warp::body::bytes`, it copies the pieces received into segments, and does not keep a buffer
+/// for each piece.
 pub fn sized_body(limit: u64) -> impl Filter<Extract = (Bytes,), Error = Rejection> + Clone {
     let body = warp::body::content_length_limit(limit).and(warp::body::stream());
     body.and_then(move |body| async move {
--- a/crates/daemon/src/inbound/connection.rs
+++ b/crates/daemon/src/inbound/connection.rs
@@ -93,7 +93,7 @@
         self.advance(&[BODY], SERVING, now_ms)
     }
 
-    /// Marks the request as answered.
+    /// Marks the request as answered, whether or not its body was read.
     pub fn finish(&self, now_ms: u64) {
         self.received.store(0, Relaxed);
         self.body.store(0, Relaxed);
@@ -113,7 +113,7 @@
         self.phase.compare_exchange(from, CLOSED, AcqRel, Acquire).is_ok()
     }
 
-    /// Counts bytes read from the socket and returns the number of the request so far.
+    /// Counts bytes read from the socket and returns how many the current request has so far.
     pub fn add_received(&self, count: u64) -> u64 {
         self.received.fetch_add(count, Relaxed) + count
     }
--- a/crates/daemon/src/inbound/eviction.rs
+++ b/crates/daemon/src/inbound/eviction.rs
@@ -32,7 +32,7 @@
     pub has_served: bool,
 }
 
-/// How much longer than a connection that has served requests one that has not may be idle.
+/// Factor by which a connection that has served requests may be idle longer than one that has not.
 const SERVED_ADVANTAGE: u64 = 4;
 
 impl ConnectionSnapshot {
@@ -40,7 +40,7 @@
         matches!(self.phase, ConnectionPhase::Head | ConnectionPhase::Body)
     }
 
-    /// Bytes held, times the time for which they have been: a stalled request outweighs a new one.
+    /// Bytes held, times the time spent in the phase: a stalled request outweighs a new one.
     fn memory_weight(&self) -> u64 {
         self.held_bytes.saturating_mul(self.age_ms + 1)
     }
--- a/crates/daemon/src/inbound/guard.rs
+++ b/crates/daemon/src/inbound/guard.rs
@@ -61,13 +61,13 @@
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest time between two log lines about closed connections.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
-/// Share of the budget that is free after connections were closed, so that the next bytes do not
-/// require another search.
+/// Share of the budget that is free after connections were closed, as a divisor, so that the next
+/// bytes do not require another search.
 const RELIEF_SHARE: u64 = 8;
-/// Share of the budget by which connections being closed may exceed it.
+/// Share of the budget by which connections being closed may exceed it, as a divisor.
 const OVERRUN_SHARE: u64 = 8;
-/// Share of the budget for complete requests, as a numerator of 4. The rest stays available for
-/// receiving requests, and for small ones.
+/// Quarters of the budget that complete requests may occupy. The rest stays available for receiving
+/// requests, and for small ones.
 const SERVING_QUARTERS: u64 = 3;
 
 /// Limits of a process and the connections of all of its listeners.
@@ -278,7 +278,8 @@
         }
         let received = state.add_received(count);
         let buffer_bytes = guard.limits.head_bytes as u64;
-        // The read buffer is no larger than a head; empty lines count although they are dropped.
+        // hyper reads on while its buffer is not full, so an incomplete head comes with less than two
+        // buffers. More are empty lines, which hyper drops from its buffer without an error.
         if state.phase() == ConnectionPhase::Head && received > 2 * buffer_bytes {
             guard.count_closed(CloseReason::HeadBytes);
             return false;
@@ -288,8 +289,8 @@
         if used > limit {
             guard.relieve();
         }
-        // Closed connections release their memory when their tasks run, and the others must not
-        // take more of it until then. Small requests may.
+        // Closed connections release their memory only when their tasks run. Until then, incomplete
+        // requests that hold more than a read buffer may not grow.
         let is_incomplete = matches!(state.phase(), ConnectionPhase::Head | ConnectionPhase::Body);
         if used > limit + limit / OVERRUN_SHARE && is_incomplete && state.held() > buffer_bytes {
             guard.count_closed(CloseReason::Memory);
@@ -328,7 +329,7 @@
         self.guard.set_held(&self.state, held);
     }
 
-    /// Marks the request as complete; `false` if it must not reach its handler.
+    /// Marks the request as complete; `false` if its end must be withheld from its handler.
     pub fn complete(&self) -> bool {
         if self.state.phase() == ConnectionPhase::Serving {
             return true;
--- a/crates/daemon/src/inbound/server.rs
+++ b/crates/daemon/src/inbound/server.rs
@@ -215,7 +215,7 @@
     }
 }
 
-/// Answer to a request that its handler has not seen.
+/// Answer to a request whose end was withheld from its handler.
 fn refusal() -> warp::reply::Response {
     let text = "too many large requests are in progress; nothing was run";
     let mut reply = error_reply(StatusCode::SERVICE_UNAVAILABLE, text);
