--- a/crates/standins/src/experiment.rs
+++ b/crates/standins/src/experiment.rs
@@ -3,8 +3,8 @@
 //! [`ExperimentFile`] is read from YAML. [`trace`] generates the jobs from it, and
 //! [`load_generator`] submits them at their intended times. [`mod@reference`] simulates a
 //! clairvoyant central queue on the same jobs, and [`discipline`] queues with priorities and limits
-//! of the response time. [`measure`] reads metrics and timelines from the
-//! processes, and [`report`] computes the report.
+//! of the response time. [`measure`] reads metrics and timelines from the processes, and [`report`]
+//! computes the report.
 
 pub mod configure;
 pub mod discipline;
