--- a/crates/daemon/src/settings/inbound.rs
+++ b/crates/daemon/src/settings/inbound.rs
@@ -54,8 +54,9 @@
 
 /// Descriptors that each machine reserves for files.
 pub(super) const FILE_DESCRIPTORS: u64 = 200;
-/// Share of the memory for received bytes, as a divisor. The allocator needs up to three times as much for them, and
-/// a quarter of the memory is for the buffers of connections. The rest is for jobs and the directory.
+/// Share of the memory for received bytes, as a divisor. The allocator needs up to three times as much
+/// for them, and a quarter of the memory is for the buffers of connections. The rest is for jobs and the
+/// directory.
 const MEMORY_SHARE: u64 = 8;
 /// Connections for each MiB of memory: a connection occupies at most 16 KiB, and all of them a
 /// quarter of the memory.
