--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -156,7 +156,6 @@
         if class != PriorityClass::OnTime {
             self.load_shedder.record_started(&service);
         }
-        self.record_planned_start(id.submission, now);
         self.send_start(id, candidates[chosen], now);
         // A late job that has started goes back to the on-time class, so that it is finished before
         // other late jobs start.
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -160,6 +160,7 @@
     ) {
         self.release_slots(id, index);
         self.record_run_time(id, index, run_time, now);
+        self.record_served_task(id, run_time, now);
         let Some(job) = self.jobs.get_mut(&id.submission) else { return };
         job.tasks[id.index as usize].advance(TaskEvent::Answer);
         let is_complete = job.store_answer(id.index as usize, answer);
--- a/crates/core/src/entry/overload/backlog.rs
+++ b/crates/core/src/entry/overload/backlog.rs
@@ -2,7 +2,7 @@
 
 use super::super::EntryMachine;
 use super::super::dispatch::Contention;
-use crate::id::{RequestName, SubmissionId};
+use crate::id::{RequestName, SubmissionId, TaskId};
 use crate::job::ActiveJob;
 use crate::lifecycle::TaskState;
 use crate::overload::{SlotSeconds, WaitingJob};
@@ -12,7 +12,8 @@
 
 /// Largest number of jobs in a plan; further jobs, which are served last, wait.
 pub(super) const MAX_PLANNED_JOBS: usize = 512;
-/// Time that a start takes beyond the estimate: the agent queues the task until a running one ends.
+/// Time by which plans advance the latest start, since the agent queues a task that was sent until a
+/// running one ends.
 const START_DELAY: Duration = Duration::from_millis(20);
 
 /// Jobs of a plan, with what the plan is based on.
@@ -62,7 +63,7 @@
                 Duration::ZERO
             });
             may_yield = may_yield && !self.is_server_free(&job.service, task.demand, lookups, now);
-            let task_work = f64::from(task.demand.slots.max(1)) * run_time.as_secs_f64();
+            let task_work = task_work(task.demand, run_time);
             work += task_work;
             largest_task = largest_task.max(task_work);
             longest = longest.max(run_time);
@@ -114,28 +115,34 @@
         is_free
     }
 
-    /// Records that the first task of a job is about to start.
-    pub(in crate::entry) fn record_planned_start(&mut self, id: SubmissionId, now: Moment) {
-        let Some(job) = self.jobs.get(&id) else { return };
+    /// Records the work of a task that was answered after `run_time`. A start shows no capacity, since
+    /// the agent may return the task.
+    pub(in crate::entry) fn record_served_task(
+        &mut self,
+        id: TaskId,
+        run_time: Duration,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get(&id.submission) else { return };
         let Some(priority) = job.priority else { return };
-        if !self.overload.services.contains_key(&job.service) || !job.has_not_started() {
+        if !self.overload.services.contains_key(&job.service) {
             return;
         }
+        let task = &job.tasks[id.index as usize];
         let mut lookups = PlanLookups::default();
-        let work: SlotSeconds = job
-            .tasks
-            .iter()
-            .filter_map(|task| {
-                let request = &task.request.request_name;
-                let run_time = self.measured_run_time(&job.service, request, &mut lookups, now)?;
-                Some(f64::from(task.demand.slots.max(1)) * run_time.as_secs_f64())
-            })
-            .sum();
+        let request = &task.request.request_name;
+        let expected = self.measured_run_time(&job.service, request, &mut lookups, now);
+        let Some(work) = expected.map(|expected| task_work(task.demand, expected)) else { return };
         let latest_start = job.wait_limits.map(|limits| job.arrived_at + limits.slack);
-        let is_on_time = latest_start.is_some_and(|latest| now.elapsed <= latest);
+        let started_at = now.elapsed.saturating_sub(run_time);
+        let is_on_time = latest_start.is_some_and(|latest| started_at <= latest);
         if let Some(control) = self.overload.services.get_mut(&job.service) {
             control.history.advance(now.elapsed);
-            control.history.record_start(priority, work, is_on_time);
+            control.history.record_served(priority, work, is_on_time);
         }
     }
 }
+
+fn task_work(demand: ResourceAmounts, run_time: Duration) -> SlotSeconds {
+    f64::from(demand.slots.max(1)) * run_time.as_secs_f64()
+}
--- a/crates/core/tests/overload/simulator.rs
+++ b/crates/core/tests/overload/simulator.rs
@@ -126,7 +126,7 @@
             if item.queued == job.tasks {
                 let work = f64::from(job.tasks) * job.run_time.as_secs_f64();
                 history.advance(now);
-                history.record_start(job.priority, work, now <= job.latest_start());
+                history.record_served(job.priority, work, now <= job.latest_start());
             }
             running.push((now + job.run_time, item.index));
             item.queued -= 1;
