--- a/crates/core/src/entry/overload/backlog.rs
+++ b/crates/core/src/entry/overload/backlog.rs
@@ -12,10 +12,6 @@
 
 /// Largest number of jobs in a plan; further jobs, which are served last, wait.
 pub(super) const MAX_PLANNED_JOBS: usize = 512;
-/// Time by which plans advance the latest start, since the agent queues a task that was sent until a
-/// running one ends.
-const START_DELAY: Duration = Duration::from_millis(20);
-
 /// Jobs of a plan, with what the plan is based on.
 pub(super) struct Backlog {
     pub ids: Vec<SubmissionId>,
@@ -71,7 +67,7 @@
         let useful_until = (job.arrived_at + limits.expires_after).min(job.deadline_at);
         Some(WaitingJob {
             priority: job.priority?,
-            latest_start: (job.arrived_at + limits.slack).saturating_sub(START_DELAY),
+            latest_start: job.arrived_at + limits.slack,
             expires_at: useful_until.saturating_sub(longest),
             work,
             largest_task,
