--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -22,7 +22,8 @@
 pub const SERVICE: &str = "huvo11a";
 /// Port of the metrics in the templates.
 const METRICS_PORT: u16 = 9464;
-const ZONE: &str = "bc-coast-a";
+/// Zones; the agents are spread over them, and the entry is in the first.
+pub const ZONES: [&str; 2] = ["bc-coast-a", "bc-coast-b"];
 
 /// One machine: a loopback address of its own, so that ports are free.
 #[derive(Debug, Clone, Copy)]
@@ -113,6 +114,7 @@
                 .map_err(|error| format!("{name} did not start: {error}"))
         };
         let more = vec![
+            ("zone", Field::Text(ZONES[0].to_owned())),
             ("platform.address", Field::Text(store_address.to_string())),
             ("platform.keep_s", Field::Text("300".to_owned())),
             ("listenAddrs.front", Field::Text(entry_machine.address(FRONT).to_string())),
@@ -124,7 +126,9 @@
         let (mut agents, mut runners) = (Vec::new(), Vec::new());
         for index in 0..size.agents {
             let machine = Machine::new(10 + index);
+            let zone = ZONES[usize::from(index) % ZONES.len()];
             let more = vec![
+                ("zone", Field::Text(zone.to_owned())),
                 ("app", Field::Text(machine.address(RUNNER).to_string())),
                 ("limits.memoryMb", Field::Text("128".to_owned())),
                 ("limits.maxFds", Field::Text("4096".to_owned())),
@@ -133,7 +137,7 @@
             let settings = RunnerSettings {
                 id: format!("i-{:08x}", 0x7f3a_9100 + u32::from(index)),
                 service: SERVICE.to_owned(),
-                zone: ZONE.to_owned(),
+                zone: zone.to_owned(),
                 cpu: size.cpu,
                 memory_mb: 131_072,
                 address: machine.address(RUNNER),
@@ -215,12 +219,11 @@
     };
     let mut fields: Fields = vec![
         ("nodeName", Field::Text(name.to_owned())),
-        ("zone", Field::Text(ZONE.to_owned())),
         ("ip", Field::Text(machine.ip.to_string())),
         ("internalPorts.0", Field::Text(INTERNAL.to_string())),
         ("listenAddrs.control", Field::Text(machine.address(CONTROL).to_string())),
         ("seeds", Field::List(vec![seed.to_owned()])),
-        ("zones", Field::List(vec![ZONE.to_owned()])),
+        ("zones", Field::List(ZONES.map(str::to_owned).to_vec())),
         ("bounds.graceS", Field::Text("6".to_owned())),
     ];
     fields.extend(more);
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -5,6 +5,7 @@
 
 mod cancelled;
 mod deployment;
+mod evacuated;
 mod http;
 mod json;
 mod proxy;
@@ -51,6 +52,7 @@
     record.line(&format!("case {case}, disruption {trouble:?}"));
     let result = match case.as_str() {
         "cancelled" => cancelled::run(trouble, record.clone()),
+        "evacuated" => evacuated::run(trouble, record.clone()),
         "silent-store" => silent_store::run(trouble, record.clone()),
         other => Err(format!("no case {other}")),
     };
--- a/review/standins-3/proxy.rs
+++ b/review/standins-3/proxy.rs
@@ -1,4 +1,5 @@
-//! TCP proxy whose open channels can go silent for good, without a reset, while new ones work.
+//! TCP proxy whose open channels can go silent for good, without a reset, while new ones work, and
+//! which can cut the link.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -15,6 +16,7 @@
     /// Whether the latest request has an answer.
     pub is_idle: AtomicBool,
     pub is_closed: AtomicBool,
+    ends: Vec<TcpStream>,
 }
 
 /// Proxy that works in threads of its own.
@@ -22,6 +24,7 @@
 pub struct Proxy {
     pub address: SocketAddr,
     channels: Arc<Mutex<Vec<Arc<Channel>>>>,
+    is_cut: Arc<AtomicBool>,
 }
 
 impl Proxy {
@@ -29,14 +32,17 @@
         let address = listener.local_addr().expect("a bound listener has an address");
         let channels: Arc<Mutex<Vec<Arc<Channel>>>> = Arc::default();
         let known = channels.clone();
+        let is_cut: Arc<AtomicBool> = Arc::default();
+        let is_silent_at_once = is_cut.clone();
         std::thread::spawn(move || {
             for client in listener.incoming().flatten() {
                 let Ok(server) = TcpStream::connect(target) else { continue };
                 let channel = Arc::new(Channel {
-                    is_silent: AtomicBool::new(false),
+                    is_silent: AtomicBool::new(is_silent_at_once.load(Ordering::Relaxed)),
                     latest: Mutex::new(None),
                     is_idle: AtomicBool::new(true),
                     is_closed: AtomicBool::new(false),
+                    ends: [client.try_clone(), server.try_clone()].into_iter().flatten().collect(),
                 });
                 known.lock().expect("no writer panics").push(channel.clone());
                 let _ = (client.set_nodelay(true), server.set_nodelay(true));
@@ -46,7 +52,28 @@
                 std::thread::spawn(move || pump(server, client, &channel, false));
             }
         });
-        Self { address, channels }
+        Self { address, channels, is_cut }
+    }
+
+    /// Cuts the link silently: what is sent over open or new channels is lost.
+    pub fn cut(&self) {
+        self.is_cut.store(true, Ordering::Relaxed);
+        for channel in self.open_channels() {
+            channel.is_silent.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Ends the cut. The channels of before and of the cut are reset; new ones work.
+    pub fn heal(&self) {
+        self.is_cut.store(false, Ordering::Relaxed);
+        for channel in self.open_channels() {
+            if channel.is_silent.load(Ordering::Relaxed) {
+                channel.is_closed.store(true, Ordering::Relaxed);
+                for end in &channel.ends {
+                    let _ = end.shutdown(Shutdown::Both);
+                }
+            }
+        }
     }
 
     /// Channels that are open now.
--- a/review/standins-3/runner.rs
+++ b/review/standins-3/runner.rs
@@ -51,6 +51,8 @@
     next_end: u64,
     /// Highest run of each task that was stopped or ended.
     closed: HashMap<String, u64>,
+    /// Every start that was accepted, and when.
+    starts: Vec<(String, Instant)>,
 }
 
 /// Runner that works in threads of its own.
@@ -96,6 +98,11 @@
         self.lock().running.keys().cloned().collect()
     }
 
+    /// Tasks that were started later than `limit`, and when.
+    pub fn starts_after(&self, limit: Instant) -> Vec<(String, Instant)> {
+        self.lock().starts.iter().filter(|(_, at)| *at > limit).cloned().collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.0.lock().expect("no writer panics")
     }
@@ -223,6 +230,7 @@
         }
         let started_ms = self.clock_ms();
         state.running.insert(task.to_owned(), Run { number, cpu, started_ms, work_ms });
+        state.starts.push((task.to_owned(), Instant::now()));
         self.record.line(&format!("{}: start {task} run {number} ({spec})", self.settings.id));
         Response::json(200, &format!("{{\"clockMs\":{}}}", self.clock_ms()))
     }
