--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -9,6 +9,7 @@
 mod json;
 mod proxy;
 mod record;
+mod replaced;
 mod runner;
 mod silent_store;
 mod store;
@@ -51,6 +52,8 @@
     record.line(&format!("case {case}, disruption {trouble:?}"));
     let result = match case.as_str() {
         "evacuated" => evacuated::run(trouble, record.clone()),
+        "replaced" => replaced::run(trouble, record.clone()),
+        "unseeded" => replaced::run_unseeded(trouble, record.clone()),
         "silent-store" => silent_store::run(trouble, record.clone()),
         other => Err(format!("no case {other}")),
     };
