Agents that no entry answers search their settings and the log for entries

Cause: an agent knew entries from its settings at its start and from the answers of entries alone. Once the last known one was gone, nothing could name another: SIGHUP only checked the file, the stream members was read by entries alone, and entries call no agent that has not called them.

Change: EntrySilence notices that no entry answers. A SearchSchedule for each source decides when to look: at the settings file after 0.5 s and each second, at members after 1 s with growing pauses, spread over the heartbeat interval. Seeds that the settings no longer name expire. The deploy file gives agents the address of the store in their environment, as an agent also works without it.

Tests: with the searches disabled, an_agent_finds_replaced_entries_in_the_log, ..._in_settings_that_change_without_a_signal and both tests of entry_replacement fail.

--- a/crates/cli/src/cmd/platform.rs
+++ b/crates/cli/src/cmd/platform.rs
@@ -4,6 +4,7 @@
 use clap::{Args, Subcommand};
 use error_stack::{Report, ResultExt};
 use parsleyspool_platform::{agent, entry};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// Subcommands of `platform`.
@@ -12,7 +13,7 @@
     /// Run an entry on the platform.
     Entry(PlatformArgs),
     /// Run an agent on the platform.
-    Agent(PlatformArgs),
+    Agent(PlatformAgentArgs),
 }
 
 /// Arguments of `platform entry` and `platform agent`.
@@ -23,12 +24,22 @@
     settings: Option<PathBuf>,
 }
 
+/// Arguments of `platform agent`.
+#[derive(Debug, Args)]
+pub struct PlatformAgentArgs {
+    #[command(flatten)]
+    common: PlatformArgs,
+    /// Address of the platform's store, in which the agent finds entries when none answers.
+    #[arg(long, env = "PARSLEYSPOOL_STORE")]
+    store: Option<SocketAddr>,
+}
+
 impl PlatformCommand {
     /// Serves until SIGTERM, then finishes the work in progress.
     pub async fn run(self) -> Result<(), Report<CommandError>> {
         let unfinished = match self {
             Self::Entry(args) => entry::run(args.settings).await,
-            Self::Agent(args) => agent::run(args.settings).await,
+            Self::Agent(args) => agent::run(args.common.settings, args.store).await,
         };
         super::drain_result(unfinished.change_context(CommandError::DaemonFailed)?)
     }
--- a/crates/cli/tests/inbound/machine.rs
+++ b/crates/cli/tests/inbound/machine.rs
@@ -68,7 +68,7 @@
             Daemon::Agent => ("agent", AGENT_TEMPLATE),
         };
         let process =
-            PlatformProcess::start(&directory, role, role, &render(template, &fields(&ip)));
+            PlatformProcess::start(&directory, role, role, &render(template, &fields(&ip)), None);
         let mut machine = Self { listeners: listeners(daemon, &ip), process, directory };
         let mut polls = 0;
         while !machine.unanswered_names().await.is_empty() {
--- a/crates/cli/tests/platform/deployment.rs
+++ b/crates/cli/tests/platform/deployment.rs
@@ -3,7 +3,7 @@
 
 use crate::http_server::HttpServer;
 use crate::play_size::PlaySize;
-use crate::process::PlatformProcess;
+use crate::process::{PlatformProcess, write_settings};
 use crate::run_record::RunRecord;
 use crate::settings_template::render;
 use crate::store_standin::StoreStandIn;
@@ -11,6 +11,7 @@
 use futures_util::future::join_all;
 use serde_json::{Value, json};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -34,6 +35,9 @@
 const STORE_HOST: u8 = 1;
 const FIRST_ENTRY_HOST: u8 = 10;
 const FIRST_AGENT_HOST: u8 = 50;
+/// Prefixes of the names of entries and agents.
+const ENTRY_PREFIX: &str = "edge-";
+const AGENT_PREFIX: &str = "side-";
 /// Number of subnets that a test tries before it gives up.
 const SUBNET_TRIES: u32 = 200;
 /// Number of subnets used so far by this process.
@@ -78,6 +82,10 @@
 pub struct PlatformDeployment {
     subnet: LoopbackSubnet,
     pub entries: Vec<EntryAddresses>,
+    /// Control addresses that the settings name as seeds.
+    seeds: Vec<SocketAddr>,
+    /// Whether agents are told the address of the store.
+    pub tells_store: bool,
     pub processes: Vec<PlatformProcess>,
     pub workers: Vec<LiveWorker>,
     pub record: Arc<RunRecord>,
@@ -98,15 +106,11 @@
         let name = format!("parsleyspool-platform-{}-{second}-{third}", std::process::id());
         let directory = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&directory).expect("a directory can be made");
-        let entry_hosts = (0..size.entries).map(|index| FIRST_ENTRY_HOST + index as u8);
-        let entries = entry_hosts.map(|host| EntryAddresses {
-            front: subnet.address(host, FRONT_PORT),
-            ready: subnet.address(host, READY_PORT),
-            control: subnet.address(host, CONTROL_PORT),
-        });
         let mut deployment = Self {
             subnet,
-            entries: entries.collect(),
+            entries: Vec::new(),
+            seeds: Vec::new(),
+            tells_store: true,
             processes: Vec::new(),
             workers: Vec::new(),
             record: Arc::new(RunRecord::begin()),
@@ -114,16 +118,62 @@
             directory,
             is_directory_kept: false,
         };
-        for index in 0..size.entries {
-            let host = FIRST_ENTRY_HOST + index as u8;
-            deployment.spawn("entry", ENTRY_TEMPLATE, &format!("edge-{}", index + 1), host);
+        let first_hosts = FIRST_ENTRY_HOST..FIRST_ENTRY_HOST + size.entries as u8;
+        deployment.seeds =
+            first_hosts.clone().map(|host| deployment.entry_at(host).control).collect();
+        deployment.start_entries(first_hosts);
+        deployment.start_agents(size.agents);
+        deployment.start_workers(size).await;
+        deployment
+    }
+
+    /// Kills every entry, and starts as many at other addresses. The settings still name the former
+    /// ones.
+    pub fn replace_entries(&mut self) {
+        self.processes.retain(|process| !process.name.starts_with(ENTRY_PREFIX));
+        let count = self.entries.len() as u8;
+        let used = self.entries.first().map_or(FIRST_ENTRY_HOST, |entry| host_of(entry.control));
+        self.start_entries(used + count..used + 2 * count);
+    }
+
+    /// Kills every agent, and starts them again with the settings at this time.
+    pub fn restart_agents(&mut self) {
+        let before = self.processes.len();
+        self.processes.retain(|process| !process.name.starts_with(AGENT_PREFIX));
+        self.start_agents(before - self.processes.len());
+    }
+
+    /// Names the present entries in the settings of the agents, which get no signal.
+    pub fn name_entries_in_settings(&mut self) {
+        self.seeds = self.entries.iter().map(|entry| entry.control).collect();
+        for index in 0..self.workers.len() {
+            let name = agent_name(index);
+            let host = FIRST_AGENT_HOST + index as u8;
+            let settings = render(AGENT_TEMPLATE, &self.settings_fields(&name, host));
+            write_settings(&self.directory, &name, &settings);
+        }
+    }
+
+    fn entry_at(&self, host: u8) -> EntryAddresses {
+        EntryAddresses {
+            front: self.subnet.address(host, FRONT_PORT),
+            ready: self.subnet.address(host, READY_PORT),
+            control: self.subnet.address(host, CONTROL_PORT),
+        }
+    }
+
+    fn start_entries(&mut self, hosts: Range<u8>) {
+        self.entries = hosts.clone().map(|host| self.entry_at(host)).collect();
+        for host in hosts {
+            self.spawn("entry", ENTRY_TEMPLATE, &format!("{ENTRY_PREFIX}{host}"), host);
         }
-        for index in 0..size.agents {
+    }
+
+    fn start_agents(&mut self, count: usize) {
+        for index in 0..count {
             let host = FIRST_AGENT_HOST + index as u8;
-            deployment.spawn("agent", AGENT_TEMPLATE, &format!("side-{}", index + 1), host);
+            self.spawn("agent", AGENT_TEMPLATE, &agent_name(index), host);
         }
-        deployment.start_workers(size).await;
-        deployment
     }
 
     /// Keeps the directory of the settings and logs, and returns it.
@@ -134,7 +184,9 @@
 
     fn spawn(&mut self, role: &str, template: &str, name: &str, host: u8) {
         let settings = render(template, &self.settings_fields(name, host));
-        self.processes.push(PlatformProcess::start(&self.directory, role, name, &settings));
+        let store = self.tells_store.then(|| self.subnet.address(STORE_HOST, STORE_PORT));
+        let process = PlatformProcess::start(&self.directory, role, name, &settings, store);
+        self.processes.push(process);
     }
 
     async fn start_workers(&mut self, size: &PlaySize) {
@@ -142,7 +194,7 @@
             let host = FIRST_AGENT_HOST + index as u8;
             let identity = WorkerIdentity {
                 id: format!("i-{:08x}", size.seed << 8 | index as u64),
-                machine: format!("side-{}", index + 1),
+                machine: agent_name(index),
                 domain: domain_of(host).to_owned(),
                 address: self.subnet.address(host, WORKER_PORT),
                 control: self.subnet.address(host, CONTROL_PORT),
@@ -156,7 +208,7 @@
     /// Fields of the settings of a process, as the platform fills them in.
     fn settings_fields(&self, name: &str, host: u8) -> Value {
         let address = |port| self.subnet.address(host, port).to_string();
-        let seeds = self.entries.iter().map(|entry| entry.control.to_string());
+        let seeds = self.seeds.iter().map(ToString::to_string);
         let zones = DOMAINS.iter().map(|domain| ((*domain).to_owned(), json!("bc-coast")));
         json!({
             "nodeName": name,
@@ -190,6 +242,16 @@
     }
 }
 
+fn agent_name(index: usize) -> String {
+    format!("{AGENT_PREFIX}{}", index + 1)
+}
+
+/// Last byte of an IPv4 address.
+fn host_of(address: SocketAddr) -> u8 {
+    let IpAddr::V4(ip) = address.ip() else { panic!("the deployment uses IPv4") };
+    ip.octets()[3]
+}
+
 fn domain_of(host: u8) -> &'static str {
     DOMAINS[usize::from(host) % DOMAINS.len()]
 }
--- a/crates/cli/tests/platform/process.rs
+++ b/crates/cli/tests/platform/process.rs
@@ -1,12 +1,15 @@
 //! Process of the `parsleyspool` program that is ended by its handle.
 
 use std::fs::{self, File};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_parsleyspool");
 /// Variable with the path of the settings file.
 const SETTINGS_VARIABLE: &str = "PARSLEYSPOOL_BOOT";
+/// Variable with the address of the store, for agents.
+const STORE_VARIABLE: &str = "PARSLEYSPOOL_STORE";
 
 /// Running entry or agent; dropping it kills the process.
 #[derive(Debug)]
@@ -18,14 +21,21 @@
 }
 
 impl PlatformProcess {
-    /// Starts a process that writes its log to a file in `directory`.
-    pub fn start(directory: &Path, role: &str, name: &str, settings: &str) -> Self {
-        let settings_path = directory.join(format!("{name}.yaml"));
-        fs::write(&settings_path, settings).expect("settings can be written");
+    /// Starts a process that writes its log to a file in `directory`, with the store at `store` in its
+    /// environment.
+    pub fn start(
+        directory: &Path,
+        role: &str,
+        name: &str,
+        settings: &str,
+        store: Option<SocketAddr>,
+    ) -> Self {
+        let settings_path = write_settings(directory, name, settings);
         let log = directory.join(format!("{name}.log"));
         let output = File::create(&log).expect("the log file can be created");
         let mut command = Command::new(PROGRAM);
         command.args(["platform", role]).env(SETTINGS_VARIABLE, &settings_path);
+        command.envs(store.map(|store| (STORE_VARIABLE, store.to_string())));
         command.stdin(Stdio::null()).stdout(output).stderr(Stdio::inherit());
         let child = command.spawn().expect("the program starts");
         Self { name: name.to_owned(), log, child }
@@ -49,6 +59,13 @@
     }
 }
 
+/// Writes the settings file of the process `name`, and returns its path.
+pub fn write_settings(directory: &Path, name: &str, settings: &str) -> PathBuf {
+    let path = directory.join(format!("{name}.yaml"));
+    fs::write(&path, settings).expect("settings can be written");
+    path
+}
+
 impl Drop for PlatformProcess {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/crates/cli/tests/platform/waits.rs
+++ b/crates/cli/tests/platform/waits.rs
@@ -36,6 +36,15 @@
         Ok(())
     }
 
+    /// Waits until every process has read its settings and listens.
+    pub async fn wait_listening(&mut self) {
+        let is_listening = |line: &String| line.contains("event=listening");
+        while !self.processes.iter().all(|process| process.log_lines().iter().any(is_listening)) {
+            self.assert_running();
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Asserts that no process has ended.
     pub fn assert_running(&mut self) {
         for process in &mut self.processes {
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -15,11 +15,12 @@
 //!
 //! `start_check` decides whether a start is accepted, `task_queue` when it runs, `lease` how long it
 //! may run, and `cancel_and_query` what an entry learns of it. `entry_contact` decides how the agent
-//! reaches its entries.
+//! reaches its entries, and `entry_search` when it looks for others.
 
 mod cancel_and_query;
 mod capacity;
 mod entry_contact;
+mod entry_search;
 mod event;
 mod lease;
 mod loss_log;
@@ -28,6 +29,9 @@
 mod task_queue;
 
 pub use entry_contact::{ConnectPatience, EntryContact};
+pub use entry_search::{
+    EntrySilence, MEMBERS_PACE, SETTINGS_PACE, SearchPace, SearchSchedule, SearchStep,
+};
 pub use event::{AgentAction, AgentEvent, AgentLimits, RunResult, ServerAvailability};
 
 use crate::entry::{
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -7,6 +7,7 @@
 
 mod actor;
 mod entry_directory;
+mod entry_search;
 mod heartbeat;
 mod leased_runs;
 mod peer_http;
@@ -20,12 +21,12 @@
 use crate::error::DaemonError;
 use crate::http::bind_listener;
 use crate::inbound::{self, InboundGuard};
-use crate::interfaces::{ClockSource, EntryClient, TaskRunner};
+use crate::interfaces::{ClockSource, EntryClient, LogStore, SeedSource, TaskRunner};
 use crate::lifecycle::{
     DaemonLifecycle, Draining, ListenerTask, Serving, Starting, StateName, Stopped,
 };
 use crate::recorder::EventRecorder;
-use crate::settings::AgentSettings;
+use crate::settings::{AgentSettings, EntrySeed};
 use crate::telemetry::logging::LogControl;
 use crate::telemetry::metrics::DaemonMetrics;
 use crate::worker_client::WorkerClient;
@@ -55,12 +56,25 @@
     pub runner: TaskRunner,
     /// Client for the entries.
     pub entries: Arc<dyn EntryClient>,
+    /// Source of the entries in the settings, read again while no entry answers; `None` if the
+    /// settings do not change.
+    pub seeds: Option<Arc<dyn SeedSource>>,
+    /// Log in which entries announce themselves, read while no entry answers; `None` if the agent
+    /// has no access to it.
+    pub log: Option<Arc<dyn LogStore>>,
 }
 
 impl AgentInterfaces {
-    /// Uses `runner` for the tasks and HTTP for the entries.
+    /// Uses `runner` for the tasks and HTTP for the entries, and learns of entries from the settings
+    /// at the start and from other entries only.
     pub fn new(runner: TaskRunner, components: &DaemonComponents) -> Self {
-        Self { clock: components.clock.clone(), runner, entries: components.peer_client.clone() }
+        Self {
+            clock: components.clock.clone(),
+            runner,
+            entries: components.peer_client.clone(),
+            seeds: None,
+            log: None,
+        }
     }
 }
 
@@ -156,7 +170,7 @@
 ) -> Result<DaemonLifecycle<AgentDaemon, Starting>, Report<DaemonError>> {
     LifecycleCharts::load().change_context(DaemonError::Charts)?;
     let state_name = StateName::starting();
-    let entry_directory = EntryDirectory::new(&settings);
+    let entry_directory = EntryDirectory::new(settings.entry_seeds());
     let limits = settings.inbound.limits(&settings.machine);
     let inbound = Arc::new(InboundGuard::new(limits, components.metrics.clone()));
     let machine = AgentMachine::new(components.incarnation, settings.agent_limits());
@@ -198,6 +212,11 @@
         self.shared.inbound.clone()
     }
 
+    /// Handle through which the embedder passes on changed settings.
+    pub fn seed_handle(&self) -> SeedHandle {
+        SeedHandle { shared: self.shared.clone() }
+    }
+
     /// Handle through which a listener of the embedder passes on announcements of the backend
     /// server.
     pub fn announcement_handle(&self) -> AnnouncementHandle {
@@ -205,6 +224,19 @@
     }
 }
 
+/// Handle that replaces the entries of the settings; clones share the agent.
+#[derive(Debug, Clone)]
+pub struct SeedHandle {
+    shared: Arc<AgentShared>,
+}
+
+impl SeedHandle {
+    /// Makes `seeds` the entries of the settings, and contacts the new ones.
+    pub fn replace_seeds(&self, seeds: Vec<EntrySeed>) {
+        entry_search::replace_seeds(&self.shared, seeds);
+    }
+}
+
 /// Handle that passes on announcements of the backend server; clones share the agent.
 ///
 /// It is used if the worker runs the tasks under leases: the server then announces its services,
--- a/crates/daemon/src/agent/heartbeat.rs
+++ b/crates/daemon/src/agent/heartbeat.rs
@@ -3,6 +3,7 @@
 use super::AgentShared;
 use super::actor::{AgentActor, BuildReport, HandleDirective, QueryRenewalDue};
 use super::entry_directory::EntryDirectory;
+use super::entry_search::EntrySearch;
 use futures_util::future::join_all;
 use parsleyspool_core::agent::{ConnectPatience, EntryContact};
 use parsleyspool_core::entry::AgentDirective;
@@ -23,6 +24,7 @@
 /// Sends heartbeats to every known entry until the actor stops, from one task per entry.
 pub(crate) async fn run_heartbeats(address: Address<AgentActor>, shared: Arc<AgentShared>) {
     let mut heartbeat_tasks: BTreeMap<String, AbortOnDrop> = BTreeMap::new();
+    let mut entry_search = EntrySearch::new();
     while address.is_connected() {
         let now = shared.interfaces.clock.now().elapsed;
         let known_addresses = {
@@ -40,12 +42,13 @@
                 )))
             });
         }
+        entry_search.run_due(&shared, now);
         let new_entries = shared.new_entries.notified();
         let _ = tokio::time::timeout(DIRECTORY_REFRESH_INTERVAL, new_entries).await;
     }
 }
 
-fn entry_directory(shared: &AgentShared) -> MutexGuard<'_, EntryDirectory> {
+pub(super) fn entry_directory(shared: &AgentShared) -> MutexGuard<'_, EntryDirectory> {
     shared.entry_directory.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -148,17 +151,18 @@
     let sent_at = report.clock;
     let message = HeartbeatMessage::from(&report);
     let entries = &shared.interfaces.entries;
-    let Some(answer) = entries.heartbeat(entry_address.into(), message, patience).await else {
+    let answer = entries.heartbeat(entry_address.into(), message, patience).await;
+    let now = shared.interfaces.clock.now().elapsed;
+    let Some(answer) = answer else {
+        entry_directory(shared).record_failure(now);
         return HeartbeatOutcome::Unanswered;
     };
-    let now = shared.interfaces.clock.now().elapsed;
-    let has_new_entries =
-        entry_directory(shared).record_answer(entry_address, &answer.entry, &answer.entries, now);
-    if has_new_entries {
-        shared.new_entries.notify_one();
-    }
     let directive = AgentDirective::from(&answer);
     let interval = directive.heartbeat_interval;
+    let (name, others) = (&answer.entry, &answer.entries);
+    if entry_directory(shared).record_answer(entry_address, name, others, interval, now) {
+        shared.new_entries.notify_one();
+    }
     let _ = address.send(HandleDirective { directive, sent_at }).await;
     HeartbeatOutcome::Answered { interval }
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -27,6 +27,7 @@
     DaemonLifecycle, Draining, ListenerTask, Serving, Starting, StateName, Stopped,
 };
 use crate::log_client::LogClient;
+use crate::member_stream::EntryAddresses;
 use crate::recorder::EventRecorder;
 use crate::settings::{EntrySettings, ListenSettings, LogStream};
 use crate::telemetry::logging::LogControl;
@@ -269,7 +270,7 @@
             daemon.tasks.push(tokio::spawn(reader));
         }
         daemon.tasks.push(tokio::spawn(log_streams::tick(address.clone())));
-        let (address_sender, address_receiver) = watch::channel(membership::EntryAddresses::new());
+        let (address_sender, address_receiver) = watch::channel(EntryAddresses::new());
         if is_followed(LogStream::Members) {
             let announcer = membership::announce(daemon.incarnation, shared.clone());
             daemon.tasks.push(tokio::spawn(announcer));
--- a/crates/daemon/src/entry/log_streams.rs
+++ b/crates/daemon/src/entry/log_streams.rs
@@ -3,7 +3,7 @@
 use super::actor::{EntryActor, HandleEvent, TickEntry};
 use super::queries::QueryPosition;
 use super::{EntryShared, TICK_INTERVAL};
-use crate::interfaces::LogPage;
+use crate::interfaces::{LogPage, MAX_RECORDS_PER_READ};
 use bytes::Bytes;
 use parsleyspool_core::entry::{EntryEvent, StreamRead};
 use parsleyspool_core::id::Offset;
@@ -13,8 +13,6 @@
 use std::time::Duration;
 use xtra::Address;
 
-/// Largest number of records in one read.
-pub(crate) const MAX_RECORDS_PER_READ: usize = 1000;
 /// Delay before a failed read is repeated.
 pub(crate) const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
 
--- a/crates/daemon/src/entry/membership.rs
+++ b/crates/daemon/src/entry/membership.rs
@@ -2,13 +2,13 @@
 
 use super::EntryShared;
 use super::actor::EntryActor;
-use super::log_streams::{MAX_RECORDS_PER_READ, READ_RETRY_DELAY, encoded_record};
+use super::log_streams::{READ_RETRY_DELAY, encoded_record};
 use super::peer_http;
 use super::queries::EndConfigFetch;
+use crate::member_stream::{self, EntryAddresses};
 use parsleyspool_core::id::Incarnation;
 use parsleyspool_core::member::{MemberLedger, MemberRecord, MemberStatus};
-use parsleyspool_wire::record::{MEMBER_STREAM, decode_member, encode_member};
-use std::collections::BTreeMap;
+use parsleyspool_wire::record::{MEMBER_STREAM, encode_member};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -18,9 +18,6 @@
 /// Delay before an unconfirmed announcement is repeated.
 const ANNOUNCE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Peer addresses of the entries, by entry name.
-pub(crate) type EntryAddresses = BTreeMap<String, String>;
-
 /// Announces this entry, and repeats the announcement before the log drops the record.
 pub(crate) async fn announce(incarnation: Incarnation, shared: Arc<EntryShared>) {
     let status = MemberStatus::Present(shared.advertised_address.to_string().into());
@@ -63,28 +60,13 @@
     let mut ledger = MemberLedger::new();
     loop {
         let wait = shared.settings.log.wait;
-        let read = shared.interfaces.log.read(
-            MEMBER_STREAM,
-            ledger.next_offset(),
-            MAX_RECORDS_PER_READ,
-            wait,
-        );
+        let read = member_stream::read_page(&*shared.interfaces.log, &ledger, wait);
         let Ok(page) = read.await else {
             tokio::time::sleep(READ_RETRY_DELAY).await;
             continue;
         };
-        ledger.skip_to(page.earliest);
-        let mut is_changed = false;
-        for (offset, bytes) in &page.records {
-            match decode_member(bytes) {
-                Ok(record) => is_changed |= ledger.apply(*offset, record),
-                Err(_) => ledger.skip(*offset),
-            }
-        }
-        if is_changed {
-            let addresses = ledger.addresses().into_iter();
-            let addresses = addresses.map(|(name, peer)| (name.to_string(), peer.to_string()));
-            sender.send_replace(addresses.collect());
+        if member_stream::apply_page(&mut ledger, &page) {
+            sender.send_replace(member_stream::addresses(&ledger));
         }
     }
 }
--- a/crates/daemon/src/interfaces.rs
+++ b/crates/daemon/src/interfaces.rs
@@ -22,6 +22,7 @@
 use std::time::Duration;
 
 use crate::error::DaemonError;
+use crate::settings::EntrySeed;
 
 /// Source of the current time.
 pub trait ClockSource: Debug + Send + Sync {
@@ -40,6 +41,9 @@
     pub records: Vec<(Offset, Bytes)>,
 }
 
+/// Largest number of records that the daemons ask for in one read.
+pub(crate) const MAX_RECORDS_PER_READ: usize = 1000;
+
 /// The platform's append-only log.
 pub trait LogStore: Debug + Send + Sync {
     /// Appends `record` to `stream` and returns its offset.
@@ -62,6 +66,15 @@
     ) -> BoxFuture<'_, Result<LogPage, Report<DaemonError>>>;
 }
 
+/// Source of the entries that the settings of an agent name, which may change while it runs.
+pub trait SeedSource: Debug + Send + Sync {
+    /// Reads the entries that the settings name now.
+    ///
+    /// # Errors
+    /// Fails if the settings cannot be read or are invalid, as those of a file that is being written.
+    fn read_seeds(&self) -> Result<Vec<EntrySeed>, Report<DaemonError>>;
+}
+
 /// The backend server of an agent.
 pub trait BackendServer: Debug + Send + Sync {
     /// Runs one task and returns its result.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod interfaces;
 pub mod lifecycle;
 pub mod log_client;
+mod member_stream;
 pub mod peer_client;
 pub mod peer_connections;
 pub mod process_http;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -9,7 +9,7 @@
 mod key_line;
 mod reference;
 
-pub use agent::{AgentLimitSettings, AgentSettings, BackendSettings, RunSettings};
+pub use agent::{AgentLimitSettings, AgentSettings, BackendSettings, EntrySeed, RunSettings};
 pub use check::{SettingError, check_agent_settings, check_entry_settings};
 pub use inbound::{InboundSettings, MachineSettings};
 pub use reference::{SETTING_TABLE, SettingRow};
--- a/crates/daemon/src/settings/agent.rs
+++ b/crates/daemon/src/settings/agent.rs
@@ -55,6 +55,15 @@
     pub drain: Duration,
 }
 
+/// Entry that the settings of an agent name.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntrySeed {
+    /// Name of the entry; empty if the settings state only its address.
+    pub name: String,
+    /// Peer listener of the entry.
+    pub address: SocketAddr,
+}
+
 /// Leases of runs at a worker.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -157,6 +166,16 @@
 }
 
 impl AgentSettings {
+    /// Entries that the settings name.
+    pub fn entry_seeds(&self) -> Vec<EntrySeed> {
+        let named = self.entries.iter();
+        let named =
+            named.map(|(name, address)| EntrySeed { name: name.clone(), address: *address });
+        let seeds = self.seeds.iter();
+        let seeds = seeds.map(|address| EntrySeed { name: String::new(), address: *address });
+        named.chain(seeds).collect()
+    }
+
     /// Limits for the state machine of the agent.
     pub fn agent_limits(&self) -> AgentLimits {
         let runs = self.runs.as_ref();
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -132,6 +132,8 @@
     Append,
     /// Read from a stream of the log.
     Read,
+    /// Search for entries in the log, by an agent that none answers.
+    EntrySearch,
 }
 
 impl MessageKind {
@@ -144,6 +146,7 @@
             Self::PeerState => "peer_state",
             Self::Append => "append",
             Self::Read => "read",
+            Self::EntrySearch => "entry_search",
         }
     }
 }
