Entries read changed settings while the log is away, and daemons of all deployments do

With the log away and the others replaced, it never learns of those that have the configuration.

Tests: an_entry_without_the_log_finds_others_in_its_changed_settings, which fails without the read; an_entry_asks_the_entries_of_reloaded_settings.

--- a/crates/cli/src/cmd/agent.rs
+++ b/crates/cli/src/cmd/agent.rs
@@ -5,7 +5,7 @@
 use error_stack::{Report, ResultExt};
 use parsleyspool_daemon::agent;
 use parsleyspool_daemon::clock::SystemClock;
-use parsleyspool_daemon::settings::{ProcessSettings, load};
+use parsleyspool_daemon::settings::{FileSeeds, ProcessSettings, load};
 use parsleyspool_daemon::stop_signals::StopSignals;
 use parsleyspool_daemon::telemetry::logging::LogControl;
 use std::path::PathBuf;
@@ -31,7 +31,8 @@
         let control = LogControl::install(&settings.telemetry.filter);
         let control = control.change_context(CommandError::Input)?;
         let clock = Arc::new(SystemClock::new());
-        let agent = agent::start(*settings, control, clock).await;
+        let seeds = Arc::new(FileSeeds::new(self.settings));
+        let agent = agent::start(*settings, seeds, control, clock).await;
         let agent = agent.change_context(CommandError::DaemonFailed)?.run();
         tracing::info!(event = "listening", peers = %agent.components.address());
         signals.received().await;
--- a/crates/cli/src/cmd/entry.rs
+++ b/crates/cli/src/cmd/entry.rs
@@ -5,7 +5,7 @@
 use error_stack::{Report, ResultExt};
 use parsleyspool_daemon::clock::SystemClock;
 use parsleyspool_daemon::entry;
-use parsleyspool_daemon::settings::{ProcessSettings, load};
+use parsleyspool_daemon::settings::{FileSeeds, ProcessSettings, load};
 use parsleyspool_daemon::stop_signals::StopSignals;
 use parsleyspool_daemon::telemetry::logging::LogControl;
 use std::path::PathBuf;
@@ -31,7 +31,8 @@
         let control = LogControl::install(&settings.telemetry.filter);
         let control = control.change_context(CommandError::Input)?;
         let clock = Arc::new(SystemClock::new());
-        let entry = entry::start(*settings, control, clock).await;
+        let seeds = Arc::new(FileSeeds::new(self.settings));
+        let entry = entry::start(*settings, seeds, control, clock).await;
         let entry = entry.change_context(CommandError::DaemonFailed)?.run();
         tracing::info!(
             event = "listening",
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -113,18 +113,23 @@
 /// Mailbox capacity of the actor, in messages.
 const MAILBOX_CAPACITY: usize = 16_384;
 
-/// Binds the listener of the settings and creates an agent that uses HTTP for everything external.
+/// Binds the listener of the settings and creates an agent that uses HTTP for everything external, and
+/// reads its settings again from `seeds` while no entry answers.
 ///
 /// # Errors
 /// Fails if the listener cannot be bound, the settings have no backend server or a client cannot be
 /// built.
 pub async fn start(
     settings: AgentSettings,
+    seeds: Arc<dyn SeedSource>,
     log_control: LogControl,
     clock: Arc<dyn ClockSource>,
 ) -> Result<DaemonLifecycle<AgentDaemon, Starting>, Report<DaemonError>> {
     let listener = bind_listener(settings.listen).await?;
-    start_on(listener, settings, log_control, clock)
+    let components = DaemonComponents::new(&settings.telemetry, log_control, clock)?;
+    let interfaces = AgentInterfaces::new(direct_runner(&settings)?, &components);
+    let interfaces = AgentInterfaces { seeds: Some(seeds), ..interfaces };
+    start_with(listener, settings, interfaces, components)
 }
 
 /// Creates an agent on a bound listener that uses HTTP for everything external.
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -22,14 +22,14 @@
 use crate::error::DaemonError;
 use crate::http::bind_listener;
 use crate::inbound::{self, InboundGuard};
-use crate::interfaces::{AgentClient, ClockSource, EntryClient, LogStore};
+use crate::interfaces::{AgentClient, ClockSource, EntryClient, LogStore, SeedSource};
 use crate::lifecycle::{
     DaemonLifecycle, Draining, ListenerTask, Serving, Starting, StateName, Stopped,
 };
 use crate::log_client::LogClient;
 use crate::member_stream::EntryAddresses;
 use crate::recorder::EventRecorder;
-use crate::settings::{EntrySettings, ListenSettings, LogStream};
+use crate::settings::{EntrySeed, EntrySettings, ListenSettings, LogStream};
 use crate::telemetry::logging::LogControl;
 use crate::telemetry::metrics::DaemonMetrics;
 use actor::{ActorComponents, HandleEvent};
@@ -59,16 +59,20 @@
     pub agents: Arc<dyn AgentClient>,
     /// Client for the other entries.
     pub entries: Arc<dyn EntryClient>,
+    /// Source of the entries in the settings, read again while the log does not answer; `None` if the
+    /// settings do not change.
+    pub seeds: Option<Arc<dyn SeedSource>>,
 }
 
 impl EntryInterfaces {
-    /// Uses `log` as the log and HTTP for agents and entries.
+    /// Uses `log` as the log and HTTP for agents and entries, and reads its settings once.
     pub fn new(log: Arc<dyn LogStore>, components: &DaemonComponents) -> Self {
         Self {
             clock: components.clock.clone(),
             log,
             agents: components.peer_client.clone(),
             entries: components.peer_client.clone(),
+            seeds: None,
         }
     }
 }
@@ -100,6 +104,8 @@
     pub peer_address: SocketAddr,
     /// Address of the peer listener that agents and other entries receive.
     pub advertised_address: SocketAddr,
+    /// Entries that the settings name.
+    pub seeds: watch::Sender<Vec<EntrySeed>>,
     /// Makes the entry poll all other entries immediately.
     pub peer_poll_wakeup: Notify,
     /// Routes of the active configuration.
@@ -111,17 +117,22 @@
 /// Time between two ticks of the state machine.
 pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Binds the listeners of the settings and creates an entry that uses HTTP for everything external.
+/// Binds the listeners of the settings and creates an entry that uses HTTP for everything external, and
+/// reads its settings again from `seeds` while the log does not answer.
 ///
 /// # Errors
 /// Fails if a listener cannot be bound or a client cannot be built.
 pub async fn start(
     settings: EntrySettings,
+    seeds: Arc<dyn SeedSource>,
     log_control: LogControl,
     clock: Arc<dyn ClockSource>,
 ) -> Result<DaemonLifecycle<EntryDaemon, Starting>, Report<DaemonError>> {
     let listeners = EntryListeners::bind(&settings.listen).await?;
-    start_on(listeners, settings, log_control, clock)
+    let components = DaemonComponents::new(&settings.telemetry, log_control, clock)?;
+    let interfaces =
+        EntryInterfaces { seeds: Some(seeds), ..http_interfaces(&settings, &components)? };
+    start_with(listeners, settings, interfaces, components)
 }
 
 /// Listeners of an entry, bound before the entry starts.
@@ -157,10 +168,18 @@
     clock: Arc<dyn ClockSource>,
 ) -> Result<DaemonLifecycle<EntryDaemon, Starting>, Report<DaemonError>> {
     let components = DaemonComponents::new(&settings.telemetry, log_control, clock)?;
+    let interfaces = http_interfaces(&settings, &components)?;
+    start_with(listeners, settings, interfaces, components)
+}
+
+/// Interfaces with the log of the settings.
+fn http_interfaces(
+    settings: &EntrySettings,
+    components: &DaemonComponents,
+) -> Result<EntryInterfaces, Report<DaemonError>> {
     let log = LogClient::new(&settings.log.url, settings.log.timeout)?;
     let log = Arc::new(log.with_metrics(components.metrics.clone()));
-    let interfaces = EntryInterfaces::new(log, &components);
-    start_with(listeners, settings, interfaces, components)
+    Ok(EntryInterfaces::new(log, components))
 }
 
 /// Creates an entry with custom external interfaces, for embedders and benchmarks.
@@ -191,6 +210,7 @@
         caller_address: callers.local_addr().change_context(DaemonError::Bind)?,
         peer_address,
         advertised_address: settings.listen.advertise.unwrap_or(peer_address),
+        seeds: watch::Sender::new(settings.entry_seeds()),
         settings,
         interfaces,
         recorder: components.recorder,
--- a/crates/daemon/src/entry/handle.rs
+++ b/crates/daemon/src/entry/handle.rs
@@ -1,8 +1,9 @@
 //! Handle to a running entry, for the caller listener and the listeners of an embedder.
 
-use super::EntryShared;
 use super::actor::{CallerAnswer, CallerDisconnected, CallerEvent, EntryActor, HandleEvent};
 use super::queries::{QueryReadiness, QueryWaitingJobs};
+use super::{EntryShared, membership};
+use crate::settings::EntrySeed;
 use parsleyspool_core::config::ConfigSnapshot;
 use parsleyspool_core::entry::EntryEvent;
 use parsleyspool_core::id::{RequestName, ServiceName, Version, format_id};
@@ -49,6 +50,11 @@
         Self { address, shared }
     }
 
+    /// Makes `seeds` the entries of the settings.
+    pub fn replace_seeds(&self, seeds: Vec<EntrySeed>) {
+        membership::replace_seeds(&self.shared, seeds);
+    }
+
     /// Submits a job and waits for its answer; dropping the future cancels the job.
     ///
     /// # Errors
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -8,13 +8,16 @@
 mod inbound;
 mod key_line;
 mod reference;
+mod seed;
 
-pub use agent::{AgentLimitSettings, AgentSettings, BackendSettings, EntrySeed, RunSettings};
+pub use agent::{AgentLimitSettings, AgentSettings, BackendSettings, RunSettings};
 pub use check::{SettingError, check_agent_settings, check_entry_settings};
 pub use inbound::{InboundSettings, MachineSettings};
 pub use reference::{SETTING_TABLE, SettingRow};
+pub use seed::EntrySeed;
 
 use crate::error::DaemonError;
+use crate::interfaces::SeedSource;
 use error_stack::{Report, ResultExt};
 use parsleyspool_core::directory::{DirectoryLimits, QuarantinePolicy};
 use parsleyspool_core::entry::EntryLimits;
@@ -23,7 +26,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// Settings of one process, by the kind of daemon.
@@ -307,6 +310,28 @@
     })
 }
 
+/// Settings file as the source of the entries that it names.
+#[derive(Debug)]
+pub struct FileSeeds {
+    path: PathBuf,
+}
+
+impl FileSeeds {
+    /// Reads the entries from the file at `path`.
+    pub fn new(path: PathBuf) -> Self {
+        Self { path }
+    }
+}
+
+impl SeedSource for FileSeeds {
+    fn read_seeds(&self) -> Result<Vec<EntrySeed>, Report<DaemonError>> {
+        Ok(match load(&self.path)? {
+            ProcessSettings::Entry(entry) => entry.entry_seeds(),
+            ProcessSettings::Agent(agent) => agent.entry_seeds(),
+        })
+    }
+}
+
 /// Parses and checks the text of a settings file.
 ///
 /// # Errors
@@ -325,6 +350,11 @@
 }
 
 impl EntrySettings {
+    /// Other entries that the settings name.
+    pub fn entry_seeds(&self) -> Vec<EntrySeed> {
+        seed::entry_seeds(&self.peers, &self.seeds)
+    }
+
     /// Limits for the state machine of the entry.
     pub fn entry_limits(&self) -> EntryLimits {
         let limits = &self.limits;
--- a/crates/daemon/src/settings/agent.rs
+++ b/crates/daemon/src/settings/agent.rs
@@ -1,5 +1,6 @@
 //! Settings of an agent.
 
+use super::seed::{EntrySeed, entry_seeds};
 use super::{InboundSettings, MachineSettings, TelemetrySettings, default_drain};
 use parsleyspool_core::agent::AgentLimits;
 use parsleyspool_core::resources::ResourceAmounts;
@@ -55,15 +56,6 @@
     pub drain: Duration,
 }
 
-/// Entry that the settings of an agent name.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct EntrySeed {
-    /// Name of the entry; empty if the settings state only its address.
-    pub name: String,
-    /// Peer listener of the entry.
-    pub address: SocketAddr,
-}
-
 /// Leases of runs at a worker.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -168,12 +160,7 @@
 impl AgentSettings {
     /// Entries that the settings name.
     pub fn entry_seeds(&self) -> Vec<EntrySeed> {
-        let named = self.entries.iter();
-        let named =
-            named.map(|(name, address)| EntrySeed { name: name.clone(), address: *address });
-        let seeds = self.seeds.iter();
-        let seeds = seeds.map(|address| EntrySeed { name: String::new(), address: *address });
-        named.chain(seeds).collect()
+        entry_seeds(&self.entries, &self.seeds)
     }
 
     /// Limits for the state machine of the agent.
--- a/crates/daemon/tests/membership.rs
+++ b/crates/daemon/tests/membership.rs
@@ -12,9 +12,9 @@
 use parsleyspool_daemon::components::DaemonComponents;
 use parsleyspool_daemon::entry::{EntryDaemon, EntryInterfaces, EntryListeners, start_with};
 use parsleyspool_daemon::error::DaemonError;
-use parsleyspool_daemon::interfaces::{EntryClient, LogPage, LogStore};
+use parsleyspool_daemon::interfaces::{EntryClient, LogPage, LogStore, SeedSource};
 use parsleyspool_daemon::lifecycle::{DaemonLifecycle, Serving};
-use parsleyspool_daemon::settings::{ProcessSettings, parse};
+use parsleyspool_daemon::settings::{EntrySeed, ProcessSettings, parse};
 use parsleyspool_daemon::telemetry::logging::LogControl;
 use parsleyspool_wire::peer::{
     DirectiveMessage, HeartbeatMessage, PeerStateMessage, PeerStateQuery,
@@ -22,6 +22,7 @@
 use parsleyspool_wire::record::{MEMBER_STREAM, encode_member};
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -40,10 +41,15 @@
     lease: 3s
 ";
 
+/// Entry that the settings name some time after the start.
+const LATER_SEED: &str = "127.0.0.1:7203";
+
 /// Log whose only readable stream is that of the members.
 #[derive(Debug, Default)]
 struct MemberLog {
     records: watch::Sender<Vec<Bytes>>,
+    /// Whether reads fail.
+    is_away: AtomicBool,
 }
 
 impl MemberLog {
@@ -78,6 +84,9 @@
         _limit: usize,
         _wait: Duration,
     ) -> BoxFuture<'_, Result<LogPage, Report<DaemonError>>> {
+        if self.is_away.load(Ordering::SeqCst) {
+            return std::future::ready(Err(Report::new(DaemonError::Log))).boxed();
+        }
         if stream != MEMBER_STREAM {
             return std::future::pending().boxed();
         }
@@ -148,6 +157,17 @@
     }
 }
 
+/// Settings that name one other entry by now.
+#[derive(Debug)]
+struct ChangedSettings;
+
+impl SeedSource for ChangedSettings {
+    fn read_seeds(&self) -> Result<Vec<EntrySeed>, Report<DaemonError>> {
+        let address = LATER_SEED.parse().expect("an address");
+        Ok(vec![EntrySeed { name: String::new(), address }])
+    }
+}
+
 async fn start_entry(
     log: Arc<MemberLog>,
     entries: Arc<StallingEntries>,
@@ -158,7 +178,11 @@
     let clock = Arc::new(SystemClock::new());
     let components = DaemonComponents::new(&settings.telemetry, LogControl::detached(), clock);
     let components = components.expect("the components start");
-    let interfaces = EntryInterfaces { entries, ..EntryInterfaces::new(log, &components) };
+    let interfaces = EntryInterfaces {
+        entries,
+        seeds: Some(Arc::new(ChangedSettings)),
+        ..EntryInterfaces::new(log, &components)
+    };
     let listeners = EntryListeners::bind(&settings.listen).await.expect("ports are free");
     let entry = start_with(listeners, *settings, interfaces, components);
     entry.expect("the entry starts").run()
@@ -189,6 +213,33 @@
     assert!(followed.is_ok(), "the later member is asked for its state");
 }
 
+/// Failure (review/11, the same cause at an entry): all other entries are replaced while the log is away,
+/// and the entry never learns of the new ones, which have the configuration.
+#[tokio::test]
+async fn an_entry_without_the_log_finds_others_in_its_changed_settings() {
+    let (log, entries) = (Arc::new(MemberLog::default()), Arc::new(StallingEntries::default()));
+    log.is_away.store(true, Ordering::SeqCst);
+    let _entry = start_entry(log, entries.clone()).await;
+
+    let asked = entries.wait_for_question_to(LATER_SEED);
+    let asked = tokio::time::timeout(REPEAT_TIME, asked).await;
+
+    assert!(asked.is_ok(), "the entry that the settings name now is asked for its state");
+}
+
+#[tokio::test]
+async fn an_entry_asks_the_entries_of_reloaded_settings() {
+    let (log, entries) = (Arc::new(MemberLog::default()), Arc::new(StallingEntries::default()));
+    let entry = start_entry(log, entries.clone()).await;
+
+    let seeds = ChangedSettings.read_seeds().expect("the settings are valid");
+    entry.components.handle().replace_seeds(seeds);
+    let asked = entries.wait_for_question_to(LATER_SEED);
+    let asked = tokio::time::timeout(REPEAT_TIME, asked).await;
+
+    assert!(asked.is_ok(), "the entry that the settings name now is asked for its state");
+}
+
 /// Load pattern: an entry joins while another one fetches the configuration.
 #[tokio::test]
 async fn a_fetch_stopped_by_a_change_of_members_does_not_block_the_next_one() {
