Agents check their failure domain in the log while no entry can confirm it

Cause: entries that read nothing work on with their configuration (serves_unconfirmed), and their permits and directives looked like those of an entry that had just read the log. Agents knew of domains from entries alone.

Change: entries state the age of their latest confirmation in directives and starts. From 3 s on an agent that reaches the log reads whether its domain is in service; from 4.5 s on a start waits for that read, 0.3 s at most. After a failed read starts go on, as the log may be down for all. In calm nothing is read. The bound, 4.6 s, is computed from deploy/ in a test.

Schedules: the fleet of the explorer has no log, which the agents now see. Their checks fail, so that starts go on as before; its invariants are as they were.

Tests: with the checks disabled, eight of crates/core/tests/agent/confirmation.rs and agents_notice_themselves_that_their_domain_is_out_of_service fail.

Agents that the store rejects together with all entries start on.

--- a/crates/cli/src/cmd/platform.rs
+++ b/crates/cli/src/cmd/platform.rs
@@ -29,7 +29,8 @@
 pub struct PlatformAgentArgs {
     #[command(flatten)]
     common: PlatformArgs,
-    /// Address of the platform's store, in which the agent finds entries when none answers.
+    /// Address of the platform's store, in which the agent finds entries when none answers, and reads
+    /// whether its failure domain is in service when no entry can.
     #[arg(long, env = "PARSLEYSPOOL_STORE")]
     store: Option<SocketAddr>,
 }
--- a/crates/cli/tests/platform/deployment.rs
+++ b/crates/cli/tests/platform/deployment.rs
@@ -30,6 +30,7 @@
 const CONTROL_PORT: u16 = 8166;
 const READY_PORT: u16 = 8167;
 const STORE_PORT: u16 = 8169;
+const AGENT_STORE_PORT: u16 = 8170;
 const INTERNAL_PORTS: [u16; 2] = [7720, 7735];
 /// Last byte of the address of the store and of the first entry and agent.
 const STORE_HOST: u8 = 1;
@@ -89,7 +90,11 @@
     pub processes: Vec<PlatformProcess>,
     pub workers: Vec<LiveWorker>,
     pub record: Arc<RunRecord>,
-    _store: HttpServer,
+    pub store: Arc<StoreStandIn>,
+    /// Store as the entries reach it.
+    entry_store: HttpServer,
+    /// Store as the agents reach it.
+    _agent_store: HttpServer,
     /// Directory of the settings and logs.
     directory: PathBuf,
     /// Whether the directory outlives the deployment.
@@ -100,6 +105,8 @@
     /// Starts the store, the processes and the workers.
     pub async fn start(size: &PlaySize) -> Self {
         let (subnet, listener) = LoopbackSubnet::find().await;
+        let agent_listener = TcpListener::bind(subnet.address(STORE_HOST, AGENT_STORE_PORT)).await;
+        let agent_listener = agent_listener.expect("the port is free");
         let store = Arc::new(StoreStandIn::default());
         store.put_operator_record("config", &configuration());
         let [second, third] = subnet.middle;
@@ -114,7 +121,9 @@
             processes: Vec::new(),
             workers: Vec::new(),
             record: Arc::new(RunRecord::begin()),
-            _store: HttpServer::open(listener, store),
+            entry_store: HttpServer::open(listener, store.clone()),
+            _agent_store: HttpServer::open(agent_listener, store.clone()),
+            store,
             directory,
             is_directory_kept: false,
         };
@@ -136,6 +145,11 @@
         self.start_entries(used + count..used + 2 * count);
     }
 
+    /// Cuts every entry off from the store, but no agent.
+    pub async fn cut_entries_from_store(&mut self) {
+        self.entry_store.close().await;
+    }
+
     /// Kills every agent, and starts them again with the settings at this time.
     pub fn restart_agents(&mut self) {
         let before = self.processes.len();
@@ -184,7 +198,7 @@
 
     fn spawn(&mut self, role: &str, template: &str, name: &str, host: u8) {
         let settings = render(template, &self.settings_fields(name, host));
-        let store = self.tells_store.then(|| self.subnet.address(STORE_HOST, STORE_PORT));
+        let store = self.tells_store.then(|| self.subnet.address(STORE_HOST, AGENT_STORE_PORT));
         let process = PlatformProcess::start(&self.directory, role, name, &settings, store);
         self.processes.push(process);
     }
@@ -242,7 +256,13 @@
     }
 }
 
-fn agent_name(index: usize) -> String {
+/// Failure domain of the agent with this index.
+pub fn agent_domain(index: usize) -> &'static str {
+    domain_of(FIRST_AGENT_HOST + index as u8)
+}
+
+/// Name of the agent with this index, and of its machine.
+pub fn agent_name(index: usize) -> String {
     format!("{AGENT_PREFIX}{}", index + 1)
 }
 
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod deployment;
+mod domain_evacuation;
 mod entry_replacement;
 mod http_server;
 mod log_lines;
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -13,12 +13,14 @@
 //! start that it never received from one whose outcome was removed, and replies that the outcome is
 //! lost.
 //!
-//! `start_check` decides whether a start is accepted, `task_queue` when it runs, `lease` how long it
+//! `start_check` decides whether a start is accepted, `confirmation` whether the configuration that
+//! allowed it is recent enough, `task_queue` when it runs, `lease` how long it
 //! may run, and `cancel_and_query` what an entry learns of it. `entry_contact` decides how the agent
 //! reaches its entries, and `entry_search` when it looks for others.
 
 mod cancel_and_query;
 mod capacity;
+mod confirmation;
 mod entry_contact;
 mod entry_search;
 mod event;
@@ -28,6 +30,9 @@
 mod start_check;
 mod task_queue;
 
+pub use confirmation::{
+    CHECK_FAILURE_VALIDITY, CHECK_HOLD, CHECK_RETRY_DELAY, ConfirmationLimits, DomainReading,
+};
 pub use entry_contact::{ConnectPatience, EntryContact};
 pub use entry_search::{
     EntrySilence, MEMBERS_PACE, SETTINGS_PACE, SearchPace, SearchSchedule, SearchStep,
@@ -37,12 +42,14 @@
 use crate::entry::{
     AgentDirective, InterruptCause, LoadReport, NotStartedReason, StartRequest, TaskReply,
 };
+use crate::freshness::VersionConfirmation;
 use crate::id::{
     EntryName, Incarnation, SubmissionId, TaskId, TaskName, Version, incarnation_of, task_name,
 };
 use crate::resources::ResourceAmounts;
 use crate::time::Moment;
 use crate::timeline::{EventField, EventKind, RunOutcome, TimelineEvent, micros};
+use confirmation::DomainCheck;
 use loss_log::LossLog;
 use outcome_store::OutcomeStore;
 use std::collections::{BTreeSet, HashMap};
@@ -70,14 +77,18 @@
     incarnation_of(task.submission)
 }
 
-/// State of the configuration, from the latest directive with the highest version; any entry may
-/// have sent it.
+/// State of the configuration, from the latest directive with the highest version, which any entry may
+/// have sent, or from a check of the log.
 #[derive(Debug, Clone, Copy)]
 struct LatestDirective {
     version: Version,
     is_in_service: bool,
     is_leaving: bool,
     valid_until: Duration,
+    /// Latest confirmation of the version.
+    confirmation: VersionConfirmation,
+    /// Whether the state of the failure domain is from a check of the log.
+    is_from_log: bool,
 }
 
 /// State machine that makes the decisions of one agent.
@@ -86,6 +97,9 @@
     incarnation: Incarnation,
     limits: AgentLimits,
     directive: LatestDirective,
+    domain_check: DomainCheck,
+    /// Whether every start is refused for want of a confirmation.
+    is_unconfirmed: bool,
     tasks: HashMap<TaskId, AcceptedTask>,
     queue: BTreeSet<(Duration, TaskId)>,
     used_capacity: ResourceAmounts,
@@ -116,7 +130,11 @@
                 is_in_service: true,
                 is_leaving: false,
                 valid_until: Duration::ZERO,
+                confirmation: VersionConfirmation::at(Duration::ZERO),
+                is_from_log: false,
             },
+            domain_check: DomainCheck::default(),
+            is_unconfirmed: false,
             tasks: HashMap::new(),
             queue: BTreeSet::new(),
             used_capacity: ResourceAmounts::default(),
@@ -144,6 +162,9 @@
             AgentEvent::Cancel { task } => self.cancel(task, now),
             AgentEvent::Finished { task, result } => self.finish(task, result, now),
             AgentEvent::Directive { directive, sent_at } => self.apply(&directive, sent_at, now),
+            AgentEvent::DomainChecked { reading, sent_at } => {
+                self.finish_check(reading, sent_at, now);
+            }
             AgentEvent::ServerAvailable(availability) => self.set_availability(availability, now),
             AgentEvent::ServerUnresponsive => self.set_unresponsive(true, now),
             AgentEvent::ServerResponsive => self.set_unresponsive(false, now),
@@ -187,13 +208,15 @@
         self.is_server_absent
     }
 
-    /// Whether the backend server takes no new tasks: it or the agent is leaving, or it is
-    /// unresponsive.
+    /// Whether the backend server takes no new tasks: it or the agent is leaving, it is
+    /// unresponsive, or the agent starts nothing for a reason that entries do not know.
     pub fn is_leaving(&self) -> bool {
         self.is_draining
             || self.directive.is_leaving
             || self.is_server_leaving
             || self.is_server_unresponsive
+            || self.is_unconfirmed
+            || self.is_out_by_log()
     }
 
     /// Number of running and queued tasks.
@@ -248,6 +271,7 @@
         if let Some(until) = request.run_lease_until {
             self.extend_entry_lease(entry_incarnation(task), until, now);
         }
+        self.record_confirmation(&request, now);
         if self.tasks.contains_key(&task) {
             self.actions.push(AgentAction::AddWaiter { task });
             return;
@@ -324,18 +348,22 @@
         if directive.version < self.directive.version {
             return;
         }
-        let valid_until = sent_at + directive.valid_for;
-        let is_same_version = directive.version == self.directive.version;
+        let mut valid_until = sent_at + directive.valid_for;
+        let told_age = directive.confirmed_age.unwrap_or_default();
+        let mut confirmation = VersionConfirmation { told_at: sent_at, told_age };
+        if directive.version == self.directive.version {
+            valid_until = self.directive.valid_until.max(valid_until);
+            confirmation = self.directive.confirmation.latest(confirmation, now.elapsed);
+        }
         self.directive = LatestDirective {
             version: directive.version,
             is_in_service: directive.is_in_service,
             is_leaving: directive.is_leaving,
-            valid_until: if is_same_version {
-                self.directive.valid_until.max(valid_until)
-            } else {
-                valid_until
-            },
+            valid_until,
+            confirmation,
+            is_from_log: false,
         };
+        self.update_unconfirmed(now);
         self.recheck_queue(now);
     }
 
@@ -344,6 +372,8 @@
         self.losses.expire(now.elapsed);
         self.stop_unleased_tasks(now);
         self.update_stuck_slots(now);
+        self.update_unconfirmed(now);
+        self.recheck_domain(now);
         self.recheck_queue(now);
     }
 
--- a/crates/core/src/agent/event.rs
+++ b/crates/core/src/agent/event.rs
@@ -1,5 +1,6 @@
 //! Events, actions and limits of an agent.
 
+use super::confirmation::{ConfirmationLimits, DomainReading};
 use crate::entry::{
     AgentDirective, InterruptCause, LoadReport, NotStartedReason, StartId, StartRequest, TaskReply,
 };
@@ -18,6 +19,8 @@
     /// Whether tasks run only under a lease, which their entry renews with each answer to a
     /// heartbeat.
     pub is_leased: bool,
+    /// Limits on starts without a recent confirmation of the configuration.
+    pub confirmation: ConfirmationLimits,
     /// Time after the end of its run lease, or after it was asked to stop, by which a run must be over
     /// even if every stop is lost and the agent dies.
     pub stop_grace: Duration,
@@ -37,6 +40,7 @@
         Self {
             capacity: ResourceAmounts::from_slots(8),
             is_leased: false,
+            confirmation: ConfirmationLimits::default(),
             stop_grace: Duration::from_millis(300),
             queue_slots: 32,
             outcome_retention: Duration::from_secs(10),
@@ -108,6 +112,13 @@
         /// When the heartbeat was sent, on the clock of the agent.
         sent_at: Duration,
     },
+    /// A check of the failure domain ended.
+    DomainChecked {
+        /// What was read; `None` if the log did not answer.
+        reading: Option<DomainReading>,
+        /// When the check was sent, on the clock of the agent.
+        sent_at: Duration,
+    },
     /// The backend server announced its capacity, and can be advertised.
     ServerAvailable(ServerAvailability),
     /// The backend server stopped answering.
@@ -132,6 +143,8 @@
         /// Task to stop.
         task: TaskId,
     },
+    /// Read from the log whether the failure domain is in service, after what is known so far.
+    CheckDomain(DomainReading),
     /// Reply to the sender of the current event, and to nobody else.
     ReplyToSender {
         /// Reply to send.
--- a/crates/core/src/agent/task_queue.rs
+++ b/crates/core/src/agent/task_queue.rs
@@ -1,5 +1,6 @@
 //! Queue of accepted tasks that wait for free capacity of the backend server.
 
+use super::confirmation::StartConfirmation;
 use super::{AcceptedTask, AgentAction, AgentMachine};
 use crate::entry::{NotStartedReason, StartRequest, TaskReply};
 use crate::id::{EntryName, TaskId};
@@ -49,6 +50,17 @@
                 self.return_task(task, reason, now);
                 continue;
             }
+            match self.confirm_start(&request, now) {
+                StartConfirmation::Sufficient => {}
+                StartConfirmation::Pending => {
+                    self.queue.insert((queue_position, task));
+                    return;
+                }
+                StartConfirmation::Lapsed => {
+                    self.return_task(task, NotStartedReason::PermitLapsed, now);
+                    continue;
+                }
+            }
             if let Some(accepted) = self.tasks.get_mut(&task) {
                 accepted.started_at = Some(now.elapsed);
             }
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -3,6 +3,7 @@
 use super::crash_limit::JobFate;
 use super::{EntryAction, EntryMachine, NotStartedReason, StartRequest};
 use crate::error::{ErrorKind, LimitDetails, LimitName};
+use crate::freshness::VersionConfirmation;
 use crate::id::{ServiceName, SubmissionId, TaskId};
 use crate::job::{LoadBelief, PriorityClass};
 use crate::lifecycle::{DomainState, JobState, TaskEvent, TaskState};
@@ -243,6 +244,7 @@
         let Some(until) = self.permit_until(now) else { return };
         let run_lease = self.run_lease();
         let version = self.version();
+        let told_age = self.confirmed_age(now);
         let Some(job) = self.jobs.get_mut(&id.submission) else { return };
         let Some(server) = self.directory.get_mut(candidate.index) else { return };
         let incarnation = server.incarnation();
@@ -280,6 +282,7 @@
             version,
             // The entry takes the runs of the agent for ended once their lease has.
             permit_until: run_lease_until.map_or(permit, |lease_end| permit.min(lease_end)),
+            confirmation: Some(VersionConfirmation { told_at: task.sent_at, told_age }),
             run_lease_until,
             start_before: server.agent_time(deadline),
         };
--- a/crates/core/src/entry/heartbeat.rs
+++ b/crates/core/src/entry/heartbeat.rs
@@ -3,6 +3,7 @@
 use super::dispatch::Contention;
 use super::{AgentDirective, EntryMachine};
 use crate::directory::{ReportOutcome, ServerReport};
+use crate::freshness::FreshnessStatus;
 use crate::id::{Incarnation, SubmissionId, incarnation_of};
 use crate::time::Moment;
 use crate::timeline::{EventKind, TimelineEvent};
@@ -52,6 +53,7 @@
             version: configuration.version,
             is_in_service: configuration.is_in_service(&report.domain),
             is_leaving: configuration.is_leaving(&report.name),
+            confirmed_age: Some(self.confirmed_age(now)),
             valid_for: until.map_or(Duration::ZERO, |until| until.saturating_sub(now.elapsed)),
             heartbeat_interval: self.heartbeat_interval(),
             renewal_interval: self.limits.heartbeat,
@@ -60,6 +62,17 @@
         }
     }
 
+    /// Age of what confirms the configuration; the longest time if nothing ever did.
+    ///
+    /// While the configuration is unconfirmed, that is the age of the latest confirmation by the log.
+    pub(super) fn confirmed_age(&self, now: Moment) -> Duration {
+        if let FreshnessStatus::Agreed { until } = self.freshness_status {
+            return (now.elapsed + self.limits.lease).saturating_sub(until);
+        }
+        let age = self.freshness.confirmation_age(self.version(), now.elapsed);
+        age.unwrap_or(Duration::MAX)
+    }
+
     /// Those of the `held` submissions that this incarnation of the entry received and no longer
     /// works on.
     fn ended_submissions(&self, held: &[SubmissionId]) -> Vec<SubmissionId> {
--- a/crates/core/src/entry/messages.rs
+++ b/crates/core/src/entry/messages.rs
@@ -1,5 +1,6 @@
 //! Messages between an entry and an agent.
 
+use crate::freshness::VersionConfirmation;
 use crate::id::{Incarnation, JobName, RequestName, ServiceName, SubmissionId, TaskId, Version};
 use crate::named_enum::named_enum;
 use crate::resources::ResourceAmounts;
@@ -34,6 +35,9 @@
     /// End of the permit, on the clock of the agent. The version is confirmed up to this time, and
     /// the agent refuses a start that arrives later.
     pub permit_until: Duration,
+    /// Latest confirmation of the version by the log, on the clock of the agent; `None` if the entry
+    /// does not state it.
+    pub confirmation: Option<VersionConfirmation>,
     /// End of the run lease that the start grants to the tasks of its entry, on the clock of the
     /// agent; `None` if they run without a lease.
     pub run_lease_until: Option<Duration>,
@@ -154,6 +158,9 @@
     /// How long the version is confirmed, counted from when the heartbeat was sent; zero if it is
     /// not confirmed.
     pub valid_for: Duration,
+    /// Age of the latest confirmation of the version by the log, or by a majority of the entries;
+    /// `None` if the entry does not state it.
+    pub confirmed_age: Option<Duration>,
     /// Interval until the next heartbeat.
     pub heartbeat_interval: Duration,
     /// Interval between the heartbeats of an agent that has tasks of this entry. At most as long as
--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -35,6 +35,32 @@
     pub confirmed_age: Option<Duration>,
 }
 
+/// Confirmation by the log, as told by another process, that a version was in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct VersionConfirmation {
+    /// Time on the clock of this process at which it had [`Self::told_age`], or an earlier one.
+    pub told_at: Duration,
+    /// Age at that time.
+    pub told_age: Duration,
+}
+
+impl VersionConfirmation {
+    /// Confirmation by the log at `time`.
+    pub fn at(time: Duration) -> Self {
+        Self { told_at: time, told_age: Duration::ZERO }
+    }
+
+    /// Upper bound of the age at `now`.
+    pub fn age(&self, now: Duration) -> Duration {
+        self.told_age.saturating_add(now.saturating_sub(self.told_at))
+    }
+
+    /// The later one of two confirmations of the same version.
+    pub fn latest(self, other: Self, now: Duration) -> Self {
+        if other.age(now) < self.age(now) { other } else { self }
+    }
+}
+
 /// Whether and why the configuration counts as in force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FreshnessStatus {
@@ -98,6 +124,12 @@
         self.confirmed_at = self.confirmed_at.max(Some(sent_at));
     }
 
+    /// Time since the log confirmed `version` for the last time, to this or another entry; `None` if it
+    /// has not.
+    pub fn confirmation_age(&self, version: Version, now: Duration) -> Option<Duration> {
+        self.confirmed_at(version).map(|at| now.saturating_sub(at))
+    }
+
     /// Time since the latest confirmation by a read of this entry, or since the start if there is
     /// none.
     pub fn log_silence(&self, now: Duration) -> Duration {
@@ -160,14 +192,19 @@
         electorate.is_empty() || holders * 2 > electorate.len()
     }
 
-    /// End of the latest confirmation, own or relayed, that is valid for `version`.
+    /// End of the latest confirmation that is valid for `version`.
     fn confirmed_until(&self, version: Version) -> Option<Duration> {
+        self.confirmed_at(version).map(|at| at + self.lease)
+    }
+
+    /// Time of the latest confirmation, own or relayed, that is valid for `version`.
+    fn confirmed_at(&self, version: Version) -> Option<Duration> {
         let relayed = self.reports.values().filter_map(|received| {
             let age = received.report.confirmed_age?;
             let at = received.requested_at.checked_sub(age)?;
             (received.report.version <= version).then_some(at)
         });
-        self.confirmed_at.into_iter().chain(relayed).max().map(|at| at + self.lease)
+        self.confirmed_at.into_iter().chain(relayed).max()
     }
 
     /// End of the agreement of a majority that reports no version above `version`.
--- a/crates/core/tests/agent/main.rs
+++ b/crates/core/tests/agent/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the agent (leases, attempts, cancellations, queue and server state) and of the route
 //! lookup.
 
+mod confirmation;
 mod run_deadline;
 mod server_numbers;
 mod start_leases;
@@ -65,6 +66,7 @@
         is_in_service: true,
         is_leaving: false,
         valid_for: millis(3_000),
+        confirmed_age: None,
         heartbeat_interval: millis(300),
         renewal_interval: millis(300),
         run_lease: Some(millis(900)),
@@ -87,6 +89,7 @@
         payload: Bytes::new(),
         version: 1,
         permit_until: millis(3_000),
+        confirmation: None,
         run_lease_until: None,
         start_before: millis(60_000),
     }
--- a/crates/core/tests/agent/server_numbers.rs
+++ b/crates/core/tests/agent/server_numbers.rs
@@ -40,6 +40,7 @@
         payload: Bytes::new(),
         version: 1,
         permit_until: NOW.elapsed + Duration::from_secs(3),
+        confirmation: None,
         run_lease_until: None,
         start_before: NOW.elapsed + Duration::from_secs(60),
     };
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod caller_numbers;
+mod confirmation;
 mod extreme_numbers;
 mod fixtures;
 mod job_stream;
--- a/crates/core/tests/explore/cluster/processes.rs
+++ b/crates/core/tests/explore/cluster/processes.rs
@@ -122,6 +122,7 @@
                     self.end_run(index, run, false);
                 }
             }
+            AgentAction::CheckDomain(_) => unreachable!("the agents cannot read the log"),
             AgentAction::Run(request) => self.agents[index].running.push(request),
             AgentAction::ReplyToSender { reply, .. } => {
                 let Some(start) = exchange_start else { return };
--- a/crates/core/tests/explore/fleet/agent_node.rs
+++ b/crates/core/tests/explore/fleet/agent_node.rs
@@ -5,7 +5,7 @@
 use super::worker_model::{ModelClock, RunBehavior, WorkerCall, WorkerModel};
 use super::{ENTRIES, Fleet, LeaseBound, WALL_CLOCK_AT_ZERO};
 use parsleyspool_core::agent::{
-    AgentAction, AgentEvent, AgentLimits, AgentMachine, ServerAvailability,
+    AgentAction, AgentEvent, AgentLimits, AgentMachine, ConfirmationLimits, ServerAvailability,
 };
 use parsleyspool_core::directory::ServerReport;
 use parsleyspool_core::entry::{AgentDirective, StartId, StartRequest, TaskReply};
@@ -53,9 +53,12 @@
 impl Fleet {
     fn new_machines(&mut self) -> (AgentMachine, RunLedger, Life) {
         let incarnation = self.allocate_incarnation();
+        // The log answers nobody: the entries have their configuration from the start only.
+        let confirmation = ConfirmationLimits { can_check: true, ..ConfirmationLimits::default() };
         let limits = AgentLimits {
             capacity: ResourceAmounts::default(),
             is_leased: true,
+            confirmation,
             ..AgentLimits::default()
         };
         let runs = RunLimits { open_polls: 2, ..RunLimits::default() };
@@ -244,6 +247,11 @@
         action: AgentAction,
     ) {
         match action {
+            AgentAction::CheckDomain(_) => {
+                let sent_at = self.moment().elapsed;
+                let unanswered = AgentEvent::DomainChecked { reading: None, sent_at };
+                self.handle_agent(agent, unanswered, None);
+            }
             AgentAction::Run(request) => self.handle_run_event(agent, RunEvent::Run(request)),
             AgentAction::Stop { task } => self.handle_run_event(agent, RunEvent::Stop(task)),
             AgentAction::ReplyToSender { reply, .. } => {
--- a/crates/core/tests/runs/harness.rs
+++ b/crates/core/tests/runs/harness.rs
@@ -60,6 +60,7 @@
         payload: Bytes::new(),
         version: 1,
         permit_until: Duration::from_secs(60),
+        confirmation: None,
         run_lease_until: None,
         start_before: Duration::from_secs(60),
     }
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -6,6 +6,7 @@
 //! the platform's worker.
 
 mod actor;
+mod domain_check;
 mod entry_directory;
 mod entry_search;
 mod heartbeat;
@@ -21,7 +22,7 @@
 use crate::error::DaemonError;
 use crate::http::bind_listener;
 use crate::inbound::{self, InboundGuard};
-use crate::interfaces::{ClockSource, EntryClient, LogStore, SeedSource, TaskRunner};
+use crate::interfaces::{ClockSource, DomainSource, EntryClient, LogStore, SeedSource, TaskRunner};
 use crate::lifecycle::{
     DaemonLifecycle, Draining, ListenerTask, Serving, Starting, StateName, Stopped,
 };
@@ -62,6 +63,9 @@
     /// Log in which entries announce themselves, read while no entry answers; `None` if the agent
     /// has no access to it.
     pub log: Option<Arc<dyn LogStore>>,
+    /// Source of the state of the failure domain, read while no entry confirms it; `None` if the agent
+    /// has no access to one.
+    pub domains: Option<Arc<dyn DomainSource>>,
 }
 
 impl AgentInterfaces {
@@ -74,6 +78,7 @@
             entries: components.peer_client.clone(),
             seeds: None,
             log: None,
+            domains: None,
         }
     }
 }
@@ -178,7 +183,9 @@
     let entry_directory = EntryDirectory::new(settings.entry_seeds());
     let limits = settings.inbound.limits(&settings.machine);
     let inbound = Arc::new(InboundGuard::new(limits, components.metrics.clone()));
-    let machine = AgentMachine::new(components.incarnation, settings.agent_limits());
+    let mut agent_limits = settings.agent_limits();
+    agent_limits.confirmation.can_check = interfaces.domains.is_some();
+    let machine = AgentMachine::new(components.incarnation, agent_limits);
     let shared = Arc::new(AgentShared {
         listener_address: listener.local_addr().change_context(DaemonError::Bind)?,
         settings,
--- a/crates/daemon/src/agent/actor.rs
+++ b/crates/daemon/src/agent/actor.rs
@@ -66,6 +66,7 @@
             match action {
                 AgentAction::Run(request) => self.run_task(request, address),
                 AgentAction::Stop { task } => self.stop_task(task, address),
+                AgentAction::CheckDomain(known) => self.check_domain(known, address),
                 AgentAction::ReplyToSender { reply, load } => {
                     if let Some(sender) = sender.take() {
                         let _ = sender.send(TaskReplyMessage::new(reply, load));
@@ -105,7 +106,7 @@
     }
 
     /// Services, failure domain and worker of the server; `None` while no server is known.
-    fn server_description(&self) -> Option<(Vec<ServiceName>, DomainName, WorkerName)> {
+    pub(super) fn server_description(&self) -> Option<(Vec<ServiceName>, DomainName, WorkerName)> {
         let Some(runs) = &self.leased_runs else {
             let settings = &self.shared.settings;
             let services = settings.backend.as_ref()?.services.iter();
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -8,7 +8,7 @@
 use parsleyspool_wire::codec::{MAX_MESSAGE_BYTES, decode, encode};
 use parsleyspool_wire::operator::OperatorErrorBody;
 use parsleyspool_wire::peer::Envelope;
-use reqwest::Client;
+use reqwest::{Client, ClientBuilder};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::convert::Infallible;
@@ -131,13 +131,22 @@
 /// # Errors
 /// Fails if the client cannot be built.
 pub fn build_client(connect_timeout: Duration) -> Result<Client, Report<DaemonError>> {
-    Client::builder()
-        .connect_timeout(connect_timeout)
-        .pool_idle_timeout(CLIENT_IDLE_TIMEOUT)
-        .no_proxy()
-        .tcp_nodelay(true)
-        .build()
-        .change_context(DaemonError::Client)
+    let builder = client_builder(connect_timeout).pool_idle_timeout(CLIENT_IDLE_TIMEOUT);
+    builder.build().change_context(DaemonError::Client)
+}
+
+/// Builds an HTTP client that opens a new connection for each request, as an open one may be silent
+/// for good.
+///
+/// # Errors
+/// Fails if the client cannot be built.
+pub fn build_unpooled_client(connect_timeout: Duration) -> Result<Client, Report<DaemonError>> {
+    let builder = client_builder(connect_timeout).pool_max_idle_per_host(0);
+    builder.build().change_context(DaemonError::Client)
+}
+
+fn client_builder(connect_timeout: Duration) -> ClientBuilder {
+    Client::builder().connect_timeout(connect_timeout).no_proxy().tcp_nodelay(true)
 }
 
 /// Binds a TCP listener to `address`.
--- a/crates/daemon/src/interfaces.rs
+++ b/crates/daemon/src/interfaces.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use error_stack::Report;
 use futures_util::future::BoxFuture;
-use parsleyspool_core::agent::{ConnectPatience, RunResult};
+use parsleyspool_core::agent::{ConnectPatience, DomainReading, RunResult};
 use parsleyspool_core::entry::{ExchangeFailure, StartRequest};
-use parsleyspool_core::id::{Offset, PeerAddress, TaskId};
+use parsleyspool_core::id::{DomainName, Offset, PeerAddress, TaskId};
 use parsleyspool_core::run::{
     PollAnswer, PollCall, RunLimits, StartAnswer, StartCall, StopAnswer, StopCall,
 };
@@ -66,6 +66,21 @@
     ) -> BoxFuture<'_, Result<LogPage, Report<DaemonError>>>;
 }
 
+/// Source of the state of failure domains that does not depend on an entry.
+pub trait DomainSource: Debug + Send + Sync {
+    /// Reads whether `domain` is in service, from the changes after `known`.
+    ///
+    /// The call returns within a bounded time.
+    ///
+    /// # Errors
+    /// Fails if the log does not answer, or rejects the request.
+    fn read_domain(
+        &self,
+        domain: DomainName,
+        known: DomainReading,
+    ) -> BoxFuture<'_, Result<DomainReading, Report<DaemonError>>>;
+}
+
 /// Source of the entries that the settings of an agent name, which may change while it runs.
 pub trait SeedSource: Debug + Send + Sync {
     /// Reads the entries that the settings name now.
--- a/crates/daemon/src/settings/agent.rs
+++ b/crates/daemon/src/settings/agent.rs
@@ -2,7 +2,7 @@
 
 use super::seed::{EntrySeed, entry_seeds};
 use super::{InboundSettings, MachineSettings, TelemetrySettings, default_drain};
-use parsleyspool_core::agent::AgentLimits;
+use parsleyspool_core::agent::{AgentLimits, ConfirmationLimits};
 use parsleyspool_core::resources::ResourceAmounts;
 use parsleyspool_core::run::RunLimits;
 use serde::{Deserialize, Serialize};
@@ -127,6 +127,14 @@
     /// How long the outcome of a task is stored for status queries.
     #[serde(with = "humantime_serde")]
     pub outcome_kept: Duration,
+    /// Age of the latest confirmation of the configuration from which on the agent reads the state of
+    /// its failure domain itself, if it can.
+    #[serde(with = "humantime_serde")]
+    pub check_after: Duration,
+    /// Age of the latest confirmation of the configuration from which on a start waits for that read, or
+    /// is refused if the agent cannot read the state itself.
+    #[serde(with = "humantime_serde")]
+    pub start_for: Duration,
     /// Maximum number of stored outcomes; once reached, starts are refused.
     pub outcomes_kept: usize,
     /// Maximum size of all stored answers, in bytes; beyond it, the oldest answers are dropped.
@@ -139,6 +147,8 @@
         Self {
             queue: limits.queue_slots,
             outcome_kept: limits.outcome_retention,
+            check_after: limits.confirmation.check_after,
+            start_for: limits.confirmation.start_for,
             outcomes_kept: limits.max_outcomes,
             answer_bytes: limits.max_answer_bytes,
         }
@@ -172,6 +182,11 @@
                 self.backend.as_ref().map_or(0, |backend| backend.slots),
             ),
             is_leased: self.runs.is_some(),
+            confirmation: ConfirmationLimits {
+                check_after: self.limits.check_after,
+                start_for: self.limits.start_for,
+                can_check: false,
+            },
             queue_slots: self.limits.queue,
             outcome_retention: self.limits.outcome_kept,
             max_outcomes: self.limits.outcomes_kept,
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -178,6 +178,11 @@
         "agent.limits.outcome_kept",
         "must be longer than 5s, the longest lease of an entry",
     );
+    list.require(
+        settings.limits.check_after <= settings.limits.start_for,
+        "agent.limits.start_for",
+        "must be at least agent.limits.check_after",
+    );
     check_inbound("agent", &settings.machine, &settings.inbound, &mut list);
     if let Some(backend) = &settings.backend {
         check_backend(backend, &mut list);
--- a/crates/daemon/src/settings/reference.rs
+++ b/crates/daemon/src/settings/reference.rs
@@ -19,7 +19,7 @@
 }
 
 /// All settings of entries and agents.
-pub const SETTING_TABLE: [SettingRow; 87] = [
+pub const SETTING_TABLE: [SettingRow; 89] = [
     row("entry.name", "text", "name of the entry, reused by its replacement"),
     row("entry.domain", "text", "failure domain that the entry runs in"),
     row("entry.rank", "number", "index among the entries, staggers their republications"),
@@ -139,6 +139,16 @@
     row("agent.backend.answer_bytes", "bytes", "largest answer of a task"),
     row("agent.limits.queue", "slots", "slots of tasks that may be queued at the agent"),
     row("agent.limits.outcome_kept", "duration", "how long outcomes are stored for status queries"),
+    row(
+        "agent.limits.check_after",
+        "duration",
+        "age of a confirmation from which on the agent reads the log itself, if it can",
+    ),
+    row(
+        "agent.limits.start_for",
+        "duration",
+        "age of a confirmation from which on starts wait for that read, or are refused",
+    ),
     row("agent.limits.outcomes_kept", "outcomes", "maximum number of stored outcomes"),
     row("agent.limits.answer_bytes", "bytes", "maximum size of all stored answers"),
     row("agent.machine.memory_mb", "MiB", "memory of the process, for the limits below"),
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -134,6 +134,8 @@
     Read,
     /// Search for entries in the log, by an agent that none answers.
     EntrySearch,
+    /// Read of the state of the failure domain, by an agent that no entry confirms it to.
+    DomainCheck,
 }
 
 impl MessageKind {
@@ -147,6 +149,7 @@
             Self::Append => "append",
             Self::Read => "read",
             Self::EntrySearch => "entry_search",
+            Self::DomainCheck => "domain_check",
         }
     }
 }
--- a/crates/daemon/tests/agent/fixtures.rs
+++ b/crates/daemon/tests/agent/fixtures.rs
@@ -91,6 +91,7 @@
         is_in_service: true,
         is_leaving: false,
         valid_for_us: 3_000_000,
+        confirmed_age_us: None,
         renewal_interval_us: None,
         heartbeat_interval_us: 50_000,
         entries: BTreeMap::new(),
--- a/crates/standins/src/cost.rs
+++ b/crates/standins/src/cost.rs
@@ -15,6 +15,7 @@
     EntryAction, EntryEvent, EntryIdentity, EntryLimits, EntryMachine, StartRequest, StreamRead,
     TaskReply,
 };
+use parsleyspool_core::freshness::VersionConfirmation;
 use parsleyspool_core::id::TaskId;
 use parsleyspool_core::job::{JobRequest, TaskRequest};
 use parsleyspool_core::resources::ResourceAmounts;
@@ -253,6 +254,7 @@
         payload: Bytes::from_static(b"payload"),
         version: 1,
         permit_until: now + Duration::from_secs(3),
+        confirmation: Some(VersionConfirmation::at(now)),
         run_lease_until: None,
         start_before: now + Duration::from_secs(10),
     }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -8,8 +8,8 @@
 
 pub use control::{DirectiveMessage, HeartbeatMessage, PeerStateMessage, PeerStateQuery};
 pub use task::{
-    CancelMessage, NotStartedReasonWire, StartMessage, StatusQueryMessage, TaskIdWire,
-    TaskReplyMessage, TaskReplyWire,
+    CancelMessage, ConfirmationWire, NotStartedReasonWire, StartMessage, StatusQueryMessage,
+    TaskIdWire, TaskReplyMessage, TaskReplyWire,
 };
 
 use parsleyspool_core::time::HybridTimestamp;
--- a/crates/wire/src/peer/control.rs
+++ b/crates/wire/src/peer/control.rs
@@ -133,6 +133,10 @@
     /// How long this version is confirmed to be in force, in microseconds counted from when the
     /// heartbeat was sent; 0 if it is not confirmed.
     pub valid_for_us: u64,
+    /// Age of the latest confirmation of this version, in microseconds counted back from when the
+    /// answer was sent; `None` if the entry does not state it.
+    #[serde(default, rename = "confirmed_us", skip_serializing_if = "Option::is_none")]
+    pub confirmed_age_us: Option<u64>,
     /// Interval until the next heartbeat, in microseconds.
     #[serde(rename = "next_in_us")]
     pub heartbeat_interval_us: u64,
@@ -158,6 +162,7 @@
             is_in_service: directive.is_in_service,
             is_leaving: directive.is_leaving,
             valid_for_us: micros(directive.valid_for),
+            confirmed_age_us: directive.confirmed_age.map(micros),
             heartbeat_interval_us: micros(directive.heartbeat_interval),
             renewal_interval_us: Some(micros(directive.renewal_interval)),
             entries,
@@ -175,6 +180,7 @@
             is_in_service: wire.is_in_service,
             is_leaving: wire.is_leaving,
             valid_for: Duration::from_micros(wire.valid_for_us),
+            confirmed_age: wire.confirmed_age_us.map(Duration::from_micros),
             heartbeat_interval: Duration::from_micros(wire.heartbeat_interval_us),
             renewal_interval: Duration::from_micros(
                 wire.renewal_interval_us.unwrap_or(wire.heartbeat_interval_us),
--- a/crates/wire/src/peer/task.rs
+++ b/crates/wire/src/peer/task.rs
@@ -5,6 +5,7 @@
 use parsleyspool_core::entry::{
     InterruptCause, LoadReport, NotStartedReason, StartId, StartRequest, TaskReply,
 };
+use parsleyspool_core::freshness::VersionConfirmation;
 use parsleyspool_core::id::TaskId;
 use parsleyspool_core::resources::ResourceAmounts;
 use serde::{Deserialize, Serialize};
@@ -64,6 +65,9 @@
     /// End of the permit, in microseconds on the clock of the agent. The version is confirmed up to
     /// this time, and the agent refuses a start that arrives later.
     pub permit_until_us: u64,
+    /// Latest confirmation of the version by the log; `None` if the entry does not state it.
+    #[serde(default, rename = "confirmed", skip_serializing_if = "Option::is_none")]
+    pub confirmation: Option<ConfirmationWire>,
     /// End of the run lease that the start grants to the tasks of the entry, in microseconds on the
     /// clock of the agent; `None` if they run without a lease.
     #[serde(default)]
@@ -92,6 +96,7 @@
             payload: start_request.payload,
             version: start_request.version,
             permit_until_us: micros(start_request.permit_until),
+            confirmation: start_request.confirmation.map(Into::into),
             run_lease_until_us: start_request.run_lease_until.map(micros),
             start_before_us: micros(start_request.start_before),
         }
@@ -117,12 +122,37 @@
             payload: wire.payload,
             version: wire.version,
             permit_until: Duration::from_micros(wire.permit_until_us),
+            confirmation: wire.confirmation.map(Into::into),
             run_lease_until: wire.run_lease_until_us.map(Duration::from_micros),
             start_before: Duration::from_micros(wire.start_before_us),
         }
     }
 }
 
+/// Confirmation of a configuration version, on the clock of the receiver.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfirmationWire {
+    /// Time at which the confirmation had `age_us`, or an earlier one, in microseconds.
+    pub at_us: u64,
+    /// Age at that time, in microseconds.
+    pub age_us: u64,
+}
+
+impl From<VersionConfirmation> for ConfirmationWire {
+    fn from(confirmation: VersionConfirmation) -> Self {
+        Self { at_us: micros(confirmation.told_at), age_us: micros(confirmation.told_age) }
+    }
+}
+
+impl From<ConfirmationWire> for VersionConfirmation {
+    fn from(wire: ConfirmationWire) -> Self {
+        Self {
+            told_at: Duration::from_micros(wire.at_us),
+            told_age: Duration::from_micros(wire.age_us),
+        }
+    }
+}
+
 /// Status query of an entry about a start that it has sent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatusQueryMessage {
