An agent whose settings name no entry waits for one

Cause: the check of the settings took an empty list for a mistake.

Change: the agent starts, writes no_entry_named, and searches.

--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -180,7 +180,11 @@
 ) -> Result<DaemonLifecycle<AgentDaemon, Starting>, Report<DaemonError>> {
     LifecycleCharts::load().change_context(DaemonError::Charts)?;
     let state_name = StateName::starting();
-    let entry_directory = EntryDirectory::new(settings.entry_seeds());
+    let seeds = settings.entry_seeds();
+    if seeds.is_empty() {
+        tracing::warn!(event = "no_entry_named");
+    }
+    let entry_directory = EntryDirectory::new(seeds);
     let limits = settings.inbound.limits(&settings.machine);
     let inbound = Arc::new(InboundGuard::new(limits, components.metrics.clone()));
     let mut agent_limits = settings.agent_limits();
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -168,11 +168,6 @@
     list.require(!settings.name.is_empty(), "agent.name", "must not be empty");
     list.require(!settings.domain.is_empty(), "agent.domain", "must not be empty");
     list.require(!settings.worker.is_empty(), "agent.worker", "must not be empty");
-    list.require(
-        !(settings.entries.is_empty() && settings.seeds.is_empty()),
-        "agent.entries",
-        "must name at least one entry if agent.seeds is empty",
-    );
     list.require(
         settings.limits.outcome_kept > MAX_LEASE,
         "agent.limits.outcome_kept",
