A failed request to the store is not repeated over another idle connection

Cause: the poll in progress timed out, and its repetition took the next idle connection of the pool, which was silent as well, and timed out, too.

Change: ReconnectingClient applies the rule that messages between daemons follow, PeerConnections, to the clients of the store and of the log: after a failure, new connections until the idle ones are gone and the server has answered. Nothing changes in calm.

Tests: a_read_that_timed_out_is_repeated_over_a_new_connection, which fails with the pooled client; the bound from the settings of deploy/, 2.25 s, in an_entry_reads_the_store_again_soon_after_its_connections_went_silent.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -106,7 +106,7 @@
 }
 
 /// Time after which a client closes an idle connection.
-const CLIENT_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+pub(crate) const CLIENT_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Classifies a failed request by whether the peer may have received it.
 pub fn classify_failure(error: &reqwest::Error) -> ExchangeFailure {
@@ -140,7 +140,9 @@
 ///
 /// # Errors
 /// Fails if the client cannot be built.
-pub fn build_unpooled_client(connect_timeout: Duration) -> Result<Client, Report<DaemonError>> {
+pub(crate) fn build_unpooled_client(
+    connect_timeout: Duration,
+) -> Result<Client, Report<DaemonError>> {
     let builder = client_builder(connect_timeout).pool_max_idle_per_host(0);
     builder.build().change_context(DaemonError::Client)
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod peer_client;
 pub mod peer_connections;
 pub mod process_http;
+pub mod reconnecting_client;
 pub mod recorder;
 pub mod settings;
 mod stall_detector;
--- a/crates/daemon/src/log_client.rs
+++ b/crates/daemon/src/log_client.rs
@@ -2,8 +2,8 @@
 
 use crate::answer::read_answer;
 use crate::error::DaemonError;
-use crate::http::build_client;
 use crate::interfaces::{LogPage, LogStore};
+use crate::reconnecting_client::ReconnectingClient;
 use crate::telemetry::metrics::{DaemonMetrics, MessageKind};
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
@@ -12,7 +12,7 @@
 use parsleyspool_core::id::Offset;
 use parsleyspool_wire::codec::decode;
 use parsleyspool_wire::log_service::{AppendReply, ReadQuery, ReadReply};
-use reqwest::{Client, RequestBuilder};
+use reqwest::RequestBuilder;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,7 +22,7 @@
 /// HTTP client for the log at a base URL.
 #[derive(Debug)]
 pub struct LogClient {
-    client: Client,
+    connection: ReconnectingClient,
     base_url: String,
     timeout: Duration,
     metrics: Option<Arc<DaemonMetrics>>,
@@ -36,9 +36,9 @@
     /// # Errors
     /// Fails if the HTTP client cannot be built.
     pub fn new(base_url: &str, timeout: Duration) -> Result<Self, Report<DaemonError>> {
-        let client = build_client(timeout)?;
         let base_url = base_url.trim_end_matches('/').to_owned();
-        Ok(Self { client, base_url, timeout, metrics: None })
+        let connection = ReconnectingClient::new(&base_url, timeout)?;
+        Ok(Self { connection, base_url, timeout, metrics: None })
     }
 
     /// Counts the requests to the log in `metrics`.
@@ -57,13 +57,14 @@
     }
 
     async fn send_request(&self, request: RequestBuilder) -> Result<Bytes, Report<DaemonError>> {
-        let response = request.send().await.change_context(DaemonError::Log)?;
+        let sent = self.connection.record(request.send().await);
+        let response = sent.change_context(DaemonError::Log)?;
         let status = response.status();
         if !status.is_success() {
             return Err(Report::new(DaemonError::Log).attach(format!("status {status}")));
         }
         let answer = read_answer(response, MAX_REPLY_BYTES, self.timeout).await;
-        answer.change_context(DaemonError::Log)
+        self.connection.record(answer).change_context(DaemonError::Log)
     }
 }
 
@@ -75,7 +76,8 @@
     ) -> BoxFuture<'_, Result<Offset, Report<DaemonError>>> {
         async move {
             self.count_message(MessageKind::Append);
-            let request = self.client.post(self.url(stream)).timeout(self.timeout).body(record);
+            let request =
+                self.connection.client().post(self.url(stream)).timeout(self.timeout).body(record);
             let bytes = self.send_request(request).await?;
             let reply: AppendReply =
                 decode(&bytes, MAX_REPLY_BYTES).change_context(DaemonError::Log)?;
@@ -102,7 +104,7 @@
                 query.limit,
                 query.wait_ms
             );
-            let request = self.client.get(url).timeout(self.timeout + wait);
+            let request = self.connection.client().get(url).timeout(self.timeout + wait);
             let bytes = self.send_request(request).await?;
             let reply: ReadReply =
                 decode(&bytes, MAX_REPLY_BYTES).change_context(DaemonError::Log)?;
