--- a/crates/cli/src/cmd/entry.rs
+++ b/crates/cli/src/cmd/entry.rs
@@ -5,7 +5,7 @@
 use error_stack::{Report, ResultExt};
 use parsleyspool_daemon::clock::SystemClock;
 use parsleyspool_daemon::entry;
-use parsleyspool_daemon::settings::{FileSeeds, ProcessSettings, load};
+use parsleyspool_daemon::settings::{FileSeeds, ProcessSettings, load, read_seeds};
 use parsleyspool_daemon::stop_signals::StopSignals;
 use parsleyspool_daemon::telemetry::logging::LogControl;
 use std::path::PathBuf;
@@ -31,7 +31,7 @@
         let control = LogControl::install(&settings.telemetry.filter);
         let control = control.change_context(CommandError::Input)?;
         let clock = Arc::new(SystemClock::new());
-        let seeds = Arc::new(FileSeeds::new(self.settings));
+        let seeds = Arc::new(FileSeeds::new(self.settings, read_seeds));
         let entry = entry::start(*settings, seeds, control, clock).await;
         let entry = entry.change_context(CommandError::DaemonFailed)?.run();
         tracing::info!(
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -21,6 +21,7 @@
 mod cancel_and_query;
 mod capacity;
 mod confirmation;
+mod directive;
 mod entry_contact;
 mod entry_search;
 mod event;
@@ -39,10 +40,7 @@
 };
 pub use event::{AgentAction, AgentEvent, AgentLimits, RunResult, ServerAvailability};
 
-use crate::entry::{
-    AgentDirective, InterruptCause, LoadReport, NotStartedReason, StartRequest, TaskReply,
-};
-use crate::freshness::VersionConfirmation;
+use crate::entry::{InterruptCause, LoadReport, NotStartedReason, StartRequest, TaskReply};
 use crate::id::{
     EntryName, Incarnation, SubmissionId, TaskId, TaskName, Version, incarnation_of, task_name,
 };
@@ -50,6 +48,7 @@
 use crate::time::Moment;
 use crate::timeline::{EventField, EventKind, RunOutcome, TimelineEvent, micros};
 use confirmation::DomainCheck;
+use directive::LatestDirective;
 use loss_log::LossLog;
 use outcome_store::OutcomeStore;
 use std::collections::{BTreeSet, HashMap};
@@ -77,20 +76,6 @@
     incarnation_of(task.submission)
 }
 
-/// State of the configuration, from the latest directive with the highest version, which any entry may
-/// have sent, or from a check of the log.
-#[derive(Debug, Clone, Copy)]
-struct LatestDirective {
-    version: Version,
-    is_in_service: bool,
-    is_leaving: bool,
-    valid_until: Duration,
-    /// Latest confirmation of the version.
-    confirmation: VersionConfirmation,
-    /// Whether the state of the failure domain is from a check of the log.
-    is_from_log: bool,
-}
-
 /// State machine that makes the decisions of one agent.
 #[derive(Debug)]
 pub struct AgentMachine {
@@ -125,14 +110,7 @@
     pub fn new(incarnation: Incarnation, limits: AgentLimits) -> Self {
         Self {
             incarnation,
-            directive: LatestDirective {
-                version: 0,
-                is_in_service: true,
-                is_leaving: false,
-                valid_until: Duration::ZERO,
-                confirmation: VersionConfirmation::at(Duration::ZERO),
-                is_from_log: false,
-            },
+            directive: LatestDirective::initial(),
             domain_check: DomainCheck::default(),
             is_unconfirmed: false,
             tasks: HashMap::new(),
@@ -339,34 +317,6 @@
         self.actions.push(AgentAction::ReplyToWaiters { task, reply, load });
     }
 
-    fn apply(&mut self, directive: &AgentDirective, sent_at: Duration, now: Moment) {
-        self.cancel_submissions(&directive.ended_submissions, now);
-        if let Some(lease) = directive.run_lease {
-            self.renewal_lead = lease.saturating_sub(directive.renewal_interval);
-            self.extend_entry_lease(directive.entry_incarnation, sent_at + lease, now);
-        }
-        if directive.version < self.directive.version {
-            return;
-        }
-        let mut valid_until = sent_at + directive.valid_for;
-        let told_age = directive.confirmed_age.unwrap_or_default();
-        let mut confirmation = VersionConfirmation { told_at: sent_at, told_age };
-        if directive.version == self.directive.version {
-            valid_until = self.directive.valid_until.max(valid_until);
-            confirmation = self.directive.confirmation.latest(confirmation, now.elapsed);
-        }
-        self.directive = LatestDirective {
-            version: directive.version,
-            is_in_service: directive.is_in_service,
-            is_leaving: directive.is_leaving,
-            valid_until,
-            confirmation,
-            is_from_log: false,
-        };
-        self.update_unconfirmed(now);
-        self.recheck_queue(now);
-    }
-
     fn tick(&mut self, now: Moment) {
         self.outcomes.expire(now.elapsed);
         self.losses.expire(now.elapsed);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -5,6 +5,7 @@
 
 mod agent;
 mod check;
+mod file;
 mod inbound;
 mod key_line;
 mod reference;
@@ -12,13 +13,11 @@
 
 pub use agent::{AgentLimitSettings, AgentSettings, BackendSettings, RunSettings};
 pub use check::{SettingError, check_agent_settings, check_entry_settings};
+pub use file::{FileSeeds, SeedReader, load, load_with, parse, read_seeds};
 pub use inbound::{InboundSettings, MachineSettings};
 pub use reference::{SETTING_TABLE, SettingRow};
 pub use seed::EntrySeed;
 
-use crate::error::DaemonError;
-use crate::interfaces::SeedSource;
-use error_stack::{Report, ResultExt};
 use parsleyspool_core::directory::{DirectoryLimits, QuarantinePolicy};
 use parsleyspool_core::entry::EntryLimits;
 use parsleyspool_core::overload::OverloadPolicy;
@@ -26,7 +25,6 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// Settings of one process, by the kind of daemon.
@@ -295,60 +293,6 @@
     Duration::from_secs(3600)
 }
 
-/// Reads and checks the settings file at `path`.
-///
-/// # Errors
-/// Fails if the file cannot be read or a setting is invalid; the report names file, line and key.
-pub fn load(path: &Path) -> Result<ProcessSettings, Report<DaemonError>> {
-    let text = std::fs::read_to_string(path)
-        .change_context(DaemonError::Settings)
-        .attach_with(|| path.display().to_string())?;
-    parse(&text).map_err(|errors| {
-        let lines = errors.iter().map(|error| format!("{}:{error}", path.display()));
-        let lines: Vec<String> = lines.collect();
-        Report::new(DaemonError::Settings).attach(lines.join("\n"))
-    })
-}
-
-/// Settings file as the source of the entries that it names.
-#[derive(Debug)]
-pub struct FileSeeds {
-    path: PathBuf,
-}
-
-impl FileSeeds {
-    /// Reads the entries from the file at `path`.
-    pub fn new(path: PathBuf) -> Self {
-        Self { path }
-    }
-}
-
-impl SeedSource for FileSeeds {
-    fn read_seeds(&self) -> Result<Vec<EntrySeed>, Report<DaemonError>> {
-        Ok(match load(&self.path)? {
-            ProcessSettings::Entry(entry) => entry.entry_seeds(),
-            ProcessSettings::Agent(agent) => agent.entry_seeds(),
-        })
-    }
-}
-
-/// Parses and checks the text of a settings file.
-///
-/// # Errors
-/// Fails with the first syntax or type error, or else with all invalid settings.
-pub fn parse(text: &str) -> Result<ProcessSettings, Vec<SettingError>> {
-    let settings: ProcessSettings = serde_saphyr::from_str(text)
-        .map_err(|error| vec![SettingError::from_yaml_error(&error)])?;
-    let errors = match &settings {
-        ProcessSettings::Entry(entry) => check::check_entry_settings(entry),
-        ProcessSettings::Agent(agent) => check::check_agent_settings(agent),
-    };
-    if errors.is_empty() {
-        return Ok(settings);
-    }
-    Err(errors.into_iter().map(|error| error.with_line(text)).collect())
-}
-
 impl EntrySettings {
     /// Other entries that the settings name.
     pub fn entry_seeds(&self) -> Vec<EntrySeed> {
--- a/crates/daemon/tests/agent/fixtures.rs
+++ b/crates/daemon/tests/agent/fixtures.rs
@@ -19,6 +19,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Address of the only entry that the settings name.
+pub const OLD_ENTRY: &str = "127.0.0.1:7201";
+/// Settings of the agent.
+pub const SETTINGS: &str = "\
+agent:
+  name: server-1
+  domain: coast
+  worker: worker-1
+  listen: 127.0.0.1:0
+  seeds: ['127.0.0.1:7201']
+  runs:
+    lease: 700ms
+    renewal: 200ms
+";
 /// Id of the server.
 pub const SERVER: &str = "i-1";
 /// Failure domain of the server.
