--- a/crates/core/src/agent/confirmation.rs
+++ b/crates/core/src/agent/confirmation.rs
@@ -13,6 +13,7 @@
 use crate::freshness::VersionConfirmation;
 use crate::id::Version;
 use crate::time::Moment;
+use std::cmp::Ordering;
 use std::time::Duration;
 
 /// Longest time that a start waits for a check. A log that takes longer is slow or unavailable.
@@ -120,12 +121,10 @@
     fn confirmation_age(&self, request: &StartRequest, now: Moment) -> Duration {
         let stated = request.confirmation.map_or(Duration::ZERO, |stated| stated.age(now.elapsed));
         let held = self.directive.confirmation.age(now.elapsed);
-        if self.directive.version < request.version {
-            stated
-        } else if self.directive.version > request.version {
-            held
-        } else {
-            stated.min(held)
+        match self.directive.version.cmp(&request.version) {
+            Ordering::Less => stated,
+            Ordering::Equal => stated.min(held),
+            Ordering::Greater => held,
         }
     }
 
