Play random faults around the entries against the deploy file's programs

The evacuated agent of domain_evacuation is now that of the first entry, which prefers it: with another one the test depended on jobs that the entries need not place there.

--- a/crates/cli/tests/platform/deployment.rs
+++ b/crates/cli/tests/platform/deployment.rs
@@ -9,9 +9,9 @@
 use crate::store_standin::StoreStandIn;
 use crate::worker_standin::{LiveWorker, SERVICE, WorkerIdentity};
 use futures_util::future::join_all;
+use parsleyspool_standins::proxy::{LinkDirection, LinkProxy};
 use serde_json::{Value, json};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -24,17 +24,20 @@
 const ENTRY_TEMPLATE: &str = include_str!("../../../../deploy/entry.yaml");
 const AGENT_TEMPLATE: &str = include_str!("../../../../deploy/agent.yaml");
 /// Failure domains, to which processes are assigned in round-robin order.
-const DOMAINS: [&str; 3] = ["bc-coast-a", "bc-coast-b", "bc-coast-c"];
+pub const DOMAINS: [&str; 3] = ["bc-coast-a", "bc-coast-b", "bc-coast-c"];
 const FRONT_PORT: u16 = 8161;
 const WORKER_PORT: u16 = 8165;
 const CONTROL_PORT: u16 = 8166;
 const READY_PORT: u16 = 8167;
 const STORE_PORT: u16 = 8169;
-const AGENT_STORE_PORT: u16 = 8170;
+/// Port of the link of the first entry to the store.
+const FIRST_LINK_PORT: u16 = 8180;
 const INTERNAL_PORTS: [u16; 2] = [7720, 7735];
 /// Last byte of the address of the store and of the first entry and agent.
 const STORE_HOST: u8 = 1;
 const FIRST_ENTRY_HOST: u8 = 10;
+/// Number of addresses that entries use in turn.
+const ENTRY_HOSTS: u8 = 36;
 const FIRST_AGENT_HOST: u8 = 50;
 /// Prefixes of the names of entries and agents.
 const ENTRY_PREFIX: &str = "edge-";
@@ -91,10 +94,9 @@
     pub workers: Vec<LiveWorker>,
     pub record: Arc<RunRecord>,
     pub store: Arc<StoreStandIn>,
-    /// Store as the entries reach it.
-    entry_store: HttpServer,
-    /// Store as the agents reach it.
-    _agent_store: HttpServer,
+    _store_server: HttpServer,
+    /// Link of each entry to the store; a replaced entry leaves its link to its successor.
+    store_links: Vec<Arc<LinkProxy>>,
     /// Directory of the settings and logs.
     directory: PathBuf,
     /// Whether the directory outlives the deployment.
@@ -105,8 +107,6 @@
     /// Starts the store, the processes and the workers.
     pub async fn start(size: &PlaySize) -> Self {
         let (subnet, listener) = LoopbackSubnet::find().await;
-        let agent_listener = TcpListener::bind(subnet.address(STORE_HOST, AGENT_STORE_PORT)).await;
-        let agent_listener = agent_listener.expect("the port is free");
         let store = Arc::new(StoreStandIn::default());
         store.put_operator_record("config", &configuration());
         let [second, third] = subnet.middle;
@@ -121,33 +121,63 @@
             processes: Vec::new(),
             workers: Vec::new(),
             record: Arc::new(RunRecord::begin()),
-            entry_store: HttpServer::open(listener, store.clone()),
-            _agent_store: HttpServer::open(agent_listener, store.clone()),
+            _store_server: HttpServer::open(listener, store.clone()),
+            store_links: Vec::new(),
             store,
             directory,
             is_directory_kept: false,
         };
+        for index in 0..size.entries {
+            deployment.open_store_link(index).await;
+        }
         let first_hosts = FIRST_ENTRY_HOST..FIRST_ENTRY_HOST + size.entries as u8;
         deployment.seeds =
             first_hosts.clone().map(|host| deployment.entry_at(host).control).collect();
-        deployment.start_entries(first_hosts);
+        deployment.entries = first_hosts.map(|host| deployment.start_entry(host)).collect();
         deployment.start_agents(size.agents);
         deployment.start_workers(size).await;
         deployment
     }
 
+    async fn open_store_link(&mut self, index: usize) {
+        let link = LinkProxy::new();
+        link.set_target(Some(self.subnet.address(STORE_HOST, STORE_PORT)));
+        let address = self.subnet.address(STORE_HOST, FIRST_LINK_PORT + index as u16);
+        let listener = TcpListener::bind(address).await.expect("the port is free");
+        tokio::spawn(link.clone().serve(listener));
+        self.store_links.push(link);
+    }
+
     /// Kills every entry, and starts as many at other addresses. The settings still name the former
     /// ones.
     pub fn replace_entries(&mut self) {
-        self.processes.retain(|process| !process.name.starts_with(ENTRY_PREFIX));
+        for index in 0..self.entries.len() {
+            self.replace_entry(index);
+        }
+    }
+
+    /// Kills the entry with this index, and starts one at another address.
+    pub fn replace_entry(&mut self, index: usize) {
+        let host = host_of(self.entries[index].control);
+        self.processes.retain(|process| process.name != entry_name(host));
         let count = self.entries.len() as u8;
-        let used = self.entries.first().map_or(FIRST_ENTRY_HOST, |entry| host_of(entry.control));
-        self.start_entries(used + count..used + 2 * count);
+        let next_host = FIRST_ENTRY_HOST + (host - FIRST_ENTRY_HOST + count) % ENTRY_HOSTS;
+        self.entries[index] = self.start_entry(next_host);
     }
 
-    /// Cuts every entry off from the store, but no agent.
-    pub async fn cut_entries_from_store(&mut self) {
-        self.entry_store.close().await;
+    /// Cuts the entry with this index off from the store.
+    pub fn cut_from_store(&self, index: usize) {
+        self.store_links[index].set_paused(Some(LinkDirection::Both));
+    }
+
+    /// Ends the cut of the entry with this index.
+    pub fn heal_store_link(&self, index: usize) {
+        self.store_links[index].set_paused(None);
+    }
+
+    /// Makes the open connections of the entry with this index to the store silent for good.
+    pub fn silence_store_connections(&self, index: usize) {
+        self.store_links[index].discard_traffic(LinkDirection::Both);
     }
 
     /// Kills every agent, and starts them again with the settings at this time.
@@ -160,14 +190,35 @@
     /// Names the present entries in the settings of the agents, which get no signal.
     pub fn name_entries_in_settings(&mut self) {
         self.seeds = self.entries.iter().map(|entry| entry.control).collect();
+        self.write_agent_settings(|settings| settings);
+    }
+
+    /// Names no entry in the settings of the agents.
+    pub fn name_no_entry_in_settings(&mut self) {
+        self.seeds.clear();
+        self.write_agent_settings(|settings| settings);
+    }
+
+    /// Leaves the settings of the agents half written.
+    pub fn write_half_of_settings(&mut self) {
+        self.write_agent_settings(|settings| settings[..settings.len() / 2].to_owned());
+    }
+
+    fn write_agent_settings(&self, edit: impl Fn(String) -> String) {
         for index in 0..self.workers.len() {
             let name = agent_name(index);
             let host = FIRST_AGENT_HOST + index as u8;
             let settings = render(AGENT_TEMPLATE, &self.settings_fields(&name, host));
-            write_settings(&self.directory, &name, &settings);
+            write_settings(&self.directory, &name, &edit(settings));
         }
     }
 
+    /// Sends SIGHUP to every agent.
+    pub fn hang_up_agents(&self) {
+        let agents = self.processes.iter().filter(|process| process.name.starts_with(AGENT_PREFIX));
+        agents.for_each(PlatformProcess::hang_up);
+    }
+
     fn entry_at(&self, host: u8) -> EntryAddresses {
         EntryAddresses {
             front: self.subnet.address(host, FRONT_PORT),
@@ -176,11 +227,9 @@
         }
     }
 
-    fn start_entries(&mut self, hosts: Range<u8>) {
-        self.entries = hosts.clone().map(|host| self.entry_at(host)).collect();
-        for host in hosts {
-            self.spawn("entry", ENTRY_TEMPLATE, &format!("{ENTRY_PREFIX}{host}"), host);
-        }
+    fn start_entry(&mut self, host: u8) -> EntryAddresses {
+        self.spawn("entry", ENTRY_TEMPLATE, &entry_name(host), host);
+        self.entry_at(host)
     }
 
     fn start_agents(&mut self, count: usize) {
@@ -198,7 +247,7 @@
 
     fn spawn(&mut self, role: &str, template: &str, name: &str, host: u8) {
         let settings = render(template, &self.settings_fields(name, host));
-        let store = self.tells_store.then(|| self.subnet.address(STORE_HOST, AGENT_STORE_PORT));
+        let store = self.tells_store.then(|| self.subnet.address(STORE_HOST, STORE_PORT));
         let process = PlatformProcess::start(&self.directory, role, name, &settings, store);
         self.processes.push(process);
     }
@@ -219,6 +268,12 @@
         self.workers = join_all(workers).await;
     }
 
+    /// Port at which the entry at `host` reaches the store.
+    fn link_port(&self, host: u8) -> u16 {
+        let index = usize::from(host.saturating_sub(FIRST_ENTRY_HOST)) % self.store_links.len();
+        FIRST_LINK_PORT + index as u16
+    }
+
     /// Fields of the settings of a process, as the platform fills them in.
     fn settings_fields(&self, name: &str, host: u8) -> Value {
         let address = |port| self.subnet.address(host, port).to_string();
@@ -240,7 +295,7 @@
             "limits": {"maxFds": 4100, "memoryMb": 160},
             "app": address(WORKER_PORT),
             "platform": {
-                "address": self.subnet.address(STORE_HOST, STORE_PORT).to_string(),
+                "address": self.subnet.address(STORE_HOST, self.link_port(host)).to_string(),
                 "keep_s": 20,
             },
         })
@@ -256,6 +311,10 @@
     }
 }
 
+fn entry_name(host: u8) -> String {
+    format!("{ENTRY_PREFIX}{host}")
+}
+
 /// Failure domain of the agent with this index.
 pub fn agent_domain(index: usize) -> &'static str {
     domain_of(FIRST_AGENT_HOST + index as u8)
--- a/crates/cli/tests/platform/domain_evacuation.rs
+++ b/crates/cli/tests/platform/domain_evacuation.rs
@@ -6,8 +6,8 @@
 use serde_json::json;
 use std::time::Duration;
 
-/// Agent whose domain is taken out of service.
-const EVACUATED_AGENT: usize = 1;
+/// Agent whose domain is taken out of service; it is that of the first entry, which therefore prefers it.
+const EVACUATED_AGENT: usize = 2;
 /// Number of rounds of jobs within which the agent has to notice it.
 const MAX_ROUNDS: u32 = 8;
 
@@ -35,7 +35,7 @@
     let mut deployment = PlatformDeployment::start(&size).await;
     deployment.wait_serving(size.agents).await.expect("the deployment serves");
 
-    deployment.cut_entries_from_store().await;
+    (0..size.entries).for_each(|index| deployment.cut_from_store(index));
     let key = format!("evacuate/{}", agent_domain(EVACUATED_AGENT));
     deployment.store.put_operator_record(&key, &json!({}));
     let mut rounds = 0;
--- /dev/null
+++ b/crates/cli/tests/platform/fault_schedule.rs
@@ -0,0 +1,88 @@
+//! Random series of faults and changes around the entries of a deployment, derived from a seed.
+
+use crate::deployment::DOMAINS;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+/// Fault or change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultAction {
+    /// The entry with this index is replaced at another address.
+    ReplaceEntry(usize),
+    /// All entries are replaced at the same moment.
+    ReplaceAllEntries,
+    /// All agents are killed, and started again with the settings of that time.
+    RestartAgents,
+    /// The entry with this index is cut off from the store.
+    CutFromStore(usize),
+    /// All entries are.
+    CutAllFromStore,
+    /// The cuts of all entries end.
+    HealStoreLinks,
+    /// The open connections of the entry with this index to the store go silent.
+    SilenceConnections(usize),
+    /// The settings of the agents name the present entries.
+    NameEntries,
+    /// They name none.
+    NameNoEntry,
+    /// They are half written.
+    WriteHalf,
+    /// The agents get SIGHUP.
+    HangUp,
+    /// The domain with this index is taken out of service.
+    TakeOut(usize),
+    /// It is taken back.
+    TakeBack(usize),
+}
+
+/// Action at a time since the start of the play.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TimedAction {
+    pub at: Duration,
+    pub action: FaultAction,
+}
+
+/// Number of actions that are drawn; some bring a later one with them.
+const DRAWN_ACTIONS: usize = 12;
+/// Longest time for which entries are cut off, or a domain is out of service.
+const MAX_TIME_MS: u64 = 9_000;
+
+/// Draws the actions of a play of `length` with `entries` entries, in the order of their times.
+pub fn draw_actions(seed: u64, entries: usize, length: Duration) -> Vec<TimedAction> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut actions = Vec::new();
+    for _ in 0..DRAWN_ACTIONS {
+        let at = Duration::from_millis(random.random_range(0..length.as_millis() as u64));
+        let end = at + Duration::from_millis(random.random_range(200..MAX_TIME_MS));
+        let action = draw_action(entries, &mut random);
+        actions.push(TimedAction { at, action });
+        let later = match action {
+            FaultAction::CutFromStore(_) | FaultAction::CutAllFromStore => {
+                Some(FaultAction::HealStoreLinks)
+            }
+            FaultAction::TakeOut(domain) => Some(FaultAction::TakeBack(domain)),
+            FaultAction::NameNoEntry | FaultAction::WriteHalf => Some(FaultAction::NameEntries),
+            _ => None,
+        };
+        actions.extend(later.map(|action| TimedAction { at: end, action }));
+    }
+    actions.sort_by_key(|timed| timed.at);
+    actions
+}
+
+fn draw_action(entries: usize, random: &mut ChaCha8Rng) -> FaultAction {
+    let entry = random.random_range(0..entries);
+    match random.random_range(0..12) {
+        0 => FaultAction::ReplaceEntry(entry),
+        1 => FaultAction::ReplaceAllEntries,
+        2 => FaultAction::RestartAgents,
+        3 => FaultAction::CutFromStore(entry),
+        4 | 5 => FaultAction::CutAllFromStore,
+        6 => FaultAction::SilenceConnections(entry),
+        7 => FaultAction::NameNoEntry,
+        8 => FaultAction::WriteHalf,
+        9 => FaultAction::HangUp,
+        _ => FaultAction::TakeOut(random.random_range(0..DOMAINS.len())),
+    }
+}
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -5,6 +5,8 @@
 mod deployment;
 mod domain_evacuation;
 mod entry_replacement;
+mod fault_play;
+mod fault_schedule;
 mod http_server;
 mod log_lines;
 mod overlap_report;
--- a/crates/cli/tests/platform/process.rs
+++ b/crates/cli/tests/platform/process.rs
@@ -53,6 +53,13 @@
         self.child.id()
     }
 
+    /// Sends SIGHUP.
+    #[allow(dead_code, reason = "the target `inbound` does not use it")]
+    pub fn hang_up(&self) {
+        let status = Command::new("kill").arg("-HUP").arg(self.child.id().to_string()).status();
+        assert!(status.expect("kill runs").success());
+    }
+
     /// Whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().is_ok_and(|status| status.is_none())
--- a/crates/cli/tests/platform/store_standin.rs
+++ b/crates/cli/tests/platform/store_standin.rs
@@ -36,6 +36,13 @@
         self.append(OPERATOR_TOPIC, vec![record.into()]);
     }
 
+    /// Drops a record of the operator.
+    pub fn drop_operator_record(&self, key: &str) {
+        let mut record = vec![u8::try_from(key.len()).expect("a short key")];
+        record.extend(key.as_bytes());
+        self.append(OPERATOR_TOPIC, vec![record.into()]);
+    }
+
     fn topics(&self) -> MutexGuard<'_, HashMap<String, Vec<Bytes>>> {
         self.topics.lock().unwrap_or_else(PoisonError::into_inner)
     }
