--- a/crates/cli/tests/platform/fault_schedule.rs
+++ b/crates/cli/tests/platform/fault_schedule.rs
@@ -48,6 +48,9 @@
 /// Longest time for which entries are cut off, or a domain is out of service.
 const MAX_TIME_MS: u64 = 9_000;
 
+/// Time from a cut of all entries until a domain is taken out of service.
+const UNREAD_DELAY: Duration = Duration::from_millis(100);
+
 /// Draws the actions of a play of `length` with `entries` entries, in the order of their times.
 pub fn draw_actions(seed: u64, entries: usize, length: Duration) -> Vec<TimedAction> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -58,8 +61,10 @@
         let action = draw_action(entries, &mut random);
         actions.push(TimedAction { at, action });
         let later = match action {
-            FaultAction::CutFromStore(_) | FaultAction::CutAllFromStore => {
-                Some(FaultAction::HealStoreLinks)
+            FaultAction::CutFromStore(_) => Some(FaultAction::HealStoreLinks),
+            FaultAction::CutAllFromStore => {
+                actions.extend(take_out_unread(at, &mut random));
+                None
             }
             FaultAction::TakeOut(domain) => Some(FaultAction::TakeBack(domain)),
             FaultAction::NameNoEntry | FaultAction::WriteHalf => Some(FaultAction::NameEntries),
@@ -71,6 +76,18 @@
     actions
 }
 
+/// Takes a domain out of service just after all entries were cut off from the store at `cut_at`, until
+/// they are not any more.
+fn take_out_unread(cut_at: Duration, random: &mut ChaCha8Rng) -> [TimedAction; 3] {
+    let domain = random.random_range(0..DOMAINS.len());
+    let end = cut_at + Duration::from_millis(MAX_TIME_MS);
+    [
+        TimedAction { at: cut_at + UNREAD_DELAY, action: FaultAction::TakeOut(domain) },
+        TimedAction { at: end, action: FaultAction::HealStoreLinks },
+        TimedAction { at: end, action: FaultAction::TakeBack(domain) },
+    ]
+}
+
 fn draw_action(entries: usize, random: &mut ChaCha8Rng) -> FaultAction {
     let entry = random.random_range(0..entries);
     match random.random_range(0..12) {
