Agents that start while no entry is named, played with the deploy file's programs

This test does: entries replaced, settings without a seed, agents started again without the store, then the new entries named.

--- a/crates/cli/tests/platform/entry_replacement.rs
+++ b/crates/cli/tests/platform/entry_replacement.rs
@@ -39,3 +39,21 @@
 
     assert_eq!(found, Ok(()));
 }
+
+/// Failure (review/14): agents that start while their settings name no entry, since all were replaced, end
+/// by themselves with code 7, again after each restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn agents_that_start_while_their_settings_name_no_entry_run_on_until_one_is_named() {
+    let size = PlaySize::none_restart();
+    let mut deployment = start_serving(&size).await;
+    deployment.replace_entries();
+    deployment.tells_store = false;
+    deployment.name_no_entry_in_settings();
+    deployment.restart_agents();
+    deployment.wait_listening().await;
+
+    deployment.name_entries_in_settings();
+    let found = deployment.wait_serving(size.agents).await;
+
+    assert_eq!(found, Ok(()));
+}
