A start on the platform waits for valid settings and free ports

The reason stood on standard error, and in no log line.

Cause: the file was read once and each listener bound once, and a failure ended the process, whoever could mend the state. The port for metrics counted like that for callers.

Change: startup.rs repeats each of the two steps within a start window, and writes start_delayed whenever the reason changes. The logger stands before the settings are read. Listeners are bound all or none, so that nobody waits at one of them; the one for metrics is bound beside the work. SIGTERM ends a waiting process at once. The window is 8 hours, so that a process ends at most twice a day: ending sooner would not help, since the next start finds the same file and ports.

Tests: target startup, with the programs of the deploy file.

A waiting process has no metrics, as their address is in the file.

--- a/crates/cli/src/cmd/platform.rs
+++ b/crates/cli/src/cmd/platform.rs
@@ -3,9 +3,11 @@
 use crate::error::CommandError;
 use clap::{Args, Subcommand};
 use error_stack::{Report, ResultExt};
+use parsleyspool_platform::startup::StartWindow;
 use parsleyspool_platform::{agent, entry};
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 /// Subcommands of `platform`.
 #[derive(Debug, Subcommand)]
@@ -22,6 +24,16 @@
     /// Settings file; defaults to the path in PARSLEYSPOOL_BOOT.
     #[arg(long)]
     settings: Option<PathBuf>,
+    /// Time for which a start waits for valid settings, and then for free ports, before the process ends;
+    /// defaults to 8h.
+    #[arg(long, value_parser = humantime::parse_duration)]
+    start_window: Option<Duration>,
+}
+
+impl PlatformArgs {
+    fn window(&self) -> StartWindow {
+        self.start_window.map(StartWindow::new).unwrap_or_default()
+    }
 }
 
 /// Arguments of `platform agent`.
@@ -39,8 +51,14 @@
     /// Serves until SIGTERM, then finishes the work in progress.
     pub async fn run(self) -> Result<(), Report<CommandError>> {
         let unfinished = match self {
-            Self::Entry(args) => entry::run(args.settings).await,
-            Self::Agent(args) => agent::run(args.common.settings, args.store).await,
+            Self::Entry(args) => {
+                let window = args.window();
+                entry::run(args.settings, window).await
+            }
+            Self::Agent(args) => {
+                let window = args.common.window();
+                agent::run(args.common.settings, args.store, window).await
+            }
         };
         super::drain_result(unfinished.change_context(CommandError::DaemonFailed)?)
     }
--- a/crates/cli/tests/platform/deployment.rs
+++ b/crates/cli/tests/platform/deployment.rs
@@ -88,6 +88,8 @@
     pub entries: Vec<EntryAddresses>,
     /// Control addresses that the settings name as seeds.
     seeds: Vec<SocketAddr>,
+    /// Whether the settings files of the agents are half written.
+    is_half_written: bool,
     /// Whether agents are told the address of the store.
     pub tells_store: bool,
     pub processes: Vec<PlatformProcess>,
@@ -117,6 +119,7 @@
             subnet,
             entries: Vec::new(),
             seeds: Vec::new(),
+            is_half_written: false,
             tells_store: true,
             processes: Vec::new(),
             workers: Vec::new(),
@@ -190,29 +193,38 @@
     /// Names the present entries in the settings of the agents, which get no signal.
     pub fn name_entries_in_settings(&mut self) {
         self.seeds = self.entries.iter().map(|entry| entry.control).collect();
-        self.write_agent_settings(|settings| settings);
+        self.is_half_written = false;
+        self.write_agent_settings();
     }
 
     /// Names no entry in the settings of the agents.
     pub fn name_no_entry_in_settings(&mut self) {
         self.seeds.clear();
-        self.write_agent_settings(|settings| settings);
+        self.is_half_written = false;
+        self.write_agent_settings();
     }
 
-    /// Leaves the settings of the agents half written.
+    /// Leaves the settings of the agents half written, also at a start.
     pub fn write_half_of_settings(&mut self) {
-        self.write_agent_settings(|settings| settings[..settings.len() / 2].to_owned());
+        self.is_half_written = true;
+        self.write_agent_settings();
     }
 
-    fn write_agent_settings(&self, edit: impl Fn(String) -> String) {
+    fn write_agent_settings(&self) {
         for index in 0..self.workers.len() {
-            let name = agent_name(index);
-            let host = FIRST_AGENT_HOST + index as u8;
-            let settings = render(AGENT_TEMPLATE, &self.settings_fields(&name, host));
-            write_settings(&self.directory, &name, &edit(settings));
+            let (name, host) = (agent_name(index), FIRST_AGENT_HOST + index as u8);
+            write_settings(&self.directory, &name, &self.agent_settings(&name, host));
         }
     }
 
+    fn agent_settings(&self, name: &str, host: u8) -> String {
+        let mut settings = render(AGENT_TEMPLATE, &self.settings_fields(name, host));
+        if self.is_half_written {
+            settings.truncate(settings.len() / 2);
+        }
+        settings
+    }
+
     /// Sends SIGHUP to every agent.
     pub fn hang_up_agents(&mut self) {
         let agents =
@@ -229,14 +241,17 @@
     }
 
     fn start_entry(&mut self, host: u8) -> EntryAddresses {
-        self.spawn("entry", ENTRY_TEMPLATE, &entry_name(host), host);
+        let name = entry_name(host);
+        let settings = render(ENTRY_TEMPLATE, &self.settings_fields(&name, host));
+        self.spawn("entry", &name, &settings);
         self.entry_at(host)
     }
 
     fn start_agents(&mut self, count: usize) {
         for index in 0..count {
-            let host = FIRST_AGENT_HOST + index as u8;
-            self.spawn("agent", AGENT_TEMPLATE, &agent_name(index), host);
+            let (name, host) = (agent_name(index), FIRST_AGENT_HOST + index as u8);
+            let settings = self.agent_settings(&name, host);
+            self.spawn("agent", &name, &settings);
         }
     }
 
@@ -246,10 +261,9 @@
         &self.directory
     }
 
-    fn spawn(&mut self, role: &str, template: &str, name: &str, host: u8) {
-        let settings = render(template, &self.settings_fields(name, host));
+    fn spawn(&mut self, role: &str, name: &str, settings: &str) {
         let store = self.tells_store.then(|| self.subnet.address(STORE_HOST, STORE_PORT));
-        let process = PlatformProcess::start(&self.directory, role, name, &settings, store);
+        let process = PlatformProcess::start(&self.directory, role, name, settings, store);
         self.processes.push(process);
     }
 
--- a/crates/cli/tests/platform/fault_play.rs
+++ b/crates/cli/tests/platform/fault_play.rs
@@ -94,19 +94,6 @@
     }
 }
 
-/// Settings that are half written at the start of an agent end it, as those of an operator do.
-fn is_startable(actions: &[TimedAction]) -> bool {
-    let mut is_half = false;
-    actions.iter().all(|timed| {
-        match timed.action {
-            FaultAction::WriteHalf => is_half = true,
-            FaultAction::NameEntries | FaultAction::NameNoEntry => is_half = false,
-            _ => {}
-        }
-        !(is_half && timed.action == FaultAction::RestartAgents)
-    })
-}
-
 /// Step of a play: an action, or the begin of a round of jobs.
 #[derive(Debug, Clone, Copy)]
 struct PlayStep {
@@ -157,9 +144,6 @@
 /// Plays the faults of `seed` and returns what was wrong.
 async fn violations_of(seed: u64, size: PlaySize) -> Vec<String> {
     let actions = draw_actions(seed, size.entries, size.length);
-    if !is_startable(&actions) {
-        return Vec::new();
-    }
     let mut deployment = PlatformDeployment::start(&size).await;
     deployment.wait_serving(size.agents).await.expect("the deployment serves");
     let mut log = PlayLog::default();
--- a/crates/cli/tests/platform/settings_template.rs
+++ b/crates/cli/tests/platform/settings_template.rs
@@ -6,7 +6,7 @@
 const OPEN: &str = "{{";
 const CLOSE: &str = "}}";
 
-/// Renders `template` with the values in `fields`.
+/// Renders `template` with the values in `fields`. Nothing is rendered for a value that is null.
 ///
 /// `{{a.0}}` is a value by its path. `{{#a}}..{{/a}}` is rendered once for each entry of a list or
 /// table, with `{{.}}` for the entry, `{{@}}` for its key or index and `{{,}}` for a comma unless
@@ -42,6 +42,7 @@
             list.iter().enumerate().map(|(index, entry)| (index.to_string(), entry)).collect()
         }
         Value::Object(table) => table.iter().map(|(key, entry)| (key.clone(), entry)).collect(),
+        Value::Null => Vec::new(),
         other => panic!("{other} has no entries"),
     };
     let last = entries.len().saturating_sub(1);
@@ -64,6 +65,9 @@
 }
 
 fn text_of(value: &Value) -> String {
+    if value.is_null() {
+        return String::new();
+    }
     value.as_str().map_or_else(|| value.to_string(), str::to_owned)
 }
 
@@ -74,9 +78,10 @@
         "ports": [7, 8],
         "zones": {"x": "r", "y": "r"},
         "bounds": {"graceS": 6},
+        "none": null,
     });
-    let template = "{{name}}:{{ports.1}} [{{#ports}}\"{{.}}\"{{,}}{{/ports}}] \
-                    [{{#zones}}{{@}}{{,}}{{/zones}}] {{bounds.graceS}}s";
+    let template = "{{name}}{{none}}:{{ports.1}} [{{#ports}}\"{{.}}\"{{,}}{{/ports}}] \
+                    [{{#zones}}{{@}}{{,}}{{/zones}}{{#none}}{{.}}{{/none}}] {{bounds.graceS}}s";
 
     let rendered = render(template, &fields);
 
--- a/crates/cli/tests/platform/waits.rs
+++ b/crates/cli/tests/platform/waits.rs
@@ -48,7 +48,9 @@
     /// Asserts that no process has ended.
     pub fn assert_running(&mut self) {
         for process in &mut self.processes {
-            assert!(process.is_running(), "{} has ended", process.name);
+            let is_running = process.is_running();
+            let last_line = process.log_lines().pop();
+            assert!(is_running, "{} has ended: {last_line:?}", process.name);
         }
     }
 }
--- /dev/null
+++ b/crates/cli/tests/startup/main.rs
@@ -0,0 +1,166 @@
+//! Starts an entry and an agent as the deploy file does, with settings and ports as the platform may
+//! leave them on any day, and checks whether the process serves, waits or ends.
+
+mod machine;
+#[path = "../platform/process.rs"]
+mod process;
+#[path = "../platform/settings_template.rs"]
+mod settings_template;
+
+use machine::{DaemonRole, StartMachine, poll};
+use serde_json::{Value, json};
+
+const FRONT_PORT: u16 = 8161;
+const READY_PORT: u16 = 8167;
+const METRICS_PORT: u16 = 9464;
+/// Arguments for a start that gives up soon.
+const SHORT_WINDOW: [&str; 2] = ["--start-window", "300ms"];
+/// Exit code of a daemon that could not start.
+const DAEMON_FAILED: i32 = 7;
+
+/// Values without which a daemon cannot work, by their paths in the fields.
+fn needed_values(role: DaemonRole) -> Vec<&'static str> {
+    let of_both = ["/nodeName", "/zone", "/ip", "/internalPorts/0", "/listenAddrs/control"];
+    let of_role: &[&str] = match role {
+        DaemonRole::Entry => &["/platform/address", "/listenAddrs/front", "/listenAddrs/ready"],
+        DaemonRole::Agent => &["/app"],
+    };
+    of_both.iter().chain(of_role).copied().collect()
+}
+
+fn set(machine: &mut StartMachine, path: &str, value: Value) {
+    *machine.fields.pointer_mut(path).expect("the field is there") = value;
+}
+
+/// Failure (class of review/14): a value that the process needs is missing for a moment, and it ends.
+#[test]
+fn a_daemon_waits_for_a_value_that_it_needs() {
+    let needed = |role| needed_values(role).into_iter().map(move |path| (role, path));
+    for (role, path) in DaemonRole::BOTH.into_iter().flat_map(needed) {
+        let mut machine = StartMachine::new(role);
+        let whole = machine.settings();
+        set(&mut machine, path, Value::Null);
+        machine.start_with_fields(&[]);
+        let delayed = machine.wait_line("event=start_delayed");
+
+        machine.write(&whole);
+        let started = machine.wait_up();
+
+        assert_eq!((delayed, started), (Ok(()), Ok(())), "{role:?} {path}");
+    }
+}
+
+/// Failure (class of review/14): a process starts while its settings file is being written, and ends.
+#[test]
+fn a_daemon_waits_for_a_file_that_is_being_written() {
+    for role in DaemonRole::BOTH {
+        for part in [None, Some(0.0), Some(0.5)] {
+            let mut machine = StartMachine::new(role);
+            let whole = machine.settings();
+            if let Some(part) = part {
+                machine.write(&whole[..(whole.len() as f64 * part) as usize]);
+            }
+            machine.start(&[]);
+            let delayed = machine.wait_line("event=start_delayed");
+
+            machine.write(&whole);
+            let started = machine.wait_up();
+
+            assert_eq!((delayed, started), (Ok(()), Ok(())), "{role:?} {part:?}");
+        }
+    }
+}
+
+/// Failure: a setting that stays wrong is waited for without an end, or without its place.
+#[test]
+fn a_daemon_ends_with_line_and_key_of_a_setting_that_stays_wrong() {
+    for role in DaemonRole::BOTH {
+        let mut machine = StartMachine::new(role);
+        set(&mut machine, "/limits/maxFds", json!(204));
+
+        machine.start_with_fields(&SHORT_WINDOW);
+        let (code, log) = machine.wait_end();
+
+        assert_eq!(code, DAEMON_FAILED, "{log}");
+        assert!(log.contains("machine.descriptors: must be above 204"), "{log}");
+    }
+}
+
+/// Failure: a process that waits for its settings ignores SIGTERM until it is killed.
+#[test]
+fn a_daemon_that_waits_stops_at_once() {
+    for role in DaemonRole::BOTH {
+        let mut machine = StartMachine::new(role);
+        machine.write("");
+        machine.start(&[]);
+        machine.wait_line("event=start_delayed").expect("the daemon waits");
+
+        machine.terminate();
+        let (code, log) = machine.wait_end();
+
+        assert_eq!(code, 0, "{log}");
+    }
+}
+
+/// Failure (class of review/14): a port still belongs to a process that is about to leave, and the process
+/// ends.
+#[test]
+fn a_daemon_waits_for_a_port_that_is_taken() {
+    for role in DaemonRole::BOTH {
+        for port in role.required_ports() {
+            let mut machine = StartMachine::new(role);
+            let holder = machine.occupy(*port);
+            machine.start_with_fields(&[]);
+            let delayed = machine.wait_line("event=start_delayed");
+
+            drop(holder);
+            let started = machine.wait_up();
+
+            assert_eq!((delayed, started), (Ok(()), Ok(())), "{role:?} {port}");
+        }
+    }
+}
+
+/// Failure: callers wait at a listener of a process that still waits for another port.
+#[test]
+fn a_daemon_that_waits_for_one_port_holds_no_other() {
+    let mut machine = StartMachine::new(DaemonRole::Entry);
+    let _holder = machine.occupy(FRONT_PORT);
+    machine.start_with_fields(&[]);
+    machine.wait_line("event=start_delayed").expect("the entry waits");
+
+    // An attempt binds the other ports for a moment.
+    let is_refused = poll(|| !machine.accepts_at(READY_PORT));
+
+    assert!(is_refused);
+}
+
+/// Failure: a port that stays taken is waited for without an end, or without its name.
+#[test]
+fn a_daemon_ends_with_the_address_of_a_port_that_stays_taken() {
+    let mut machine = StartMachine::new(DaemonRole::Entry);
+    let _holder = machine.occupy(FRONT_PORT);
+
+    machine.start_with_fields(&SHORT_WINDOW);
+    let (code, log) = machine.wait_end();
+
+    assert_eq!(code, DAEMON_FAILED, "{log}");
+    assert!(log.contains(&format!(":{FRONT_PORT}")), "{log}");
+}
+
+/// Failure (class of review/14): the port for metrics is taken, and the process ends, though it could serve.
+#[test]
+fn a_daemon_serves_without_its_metrics_until_their_port_is_free() {
+    for role in DaemonRole::BOTH {
+        let mut machine = StartMachine::new(role);
+        let holder = machine.occupy(METRICS_PORT);
+        machine.start_with_fields(&[]);
+        let started = machine.wait_up();
+        let reported = machine.wait_line("event=metrics_unavailable");
+
+        drop(holder);
+        let serves_metrics = poll(|| machine.accepts_at(METRICS_PORT));
+
+        assert_eq!((started, reported, serves_metrics), (Ok(()), Ok(()), true), "{role:?}");
+    }
+}
--- a/crates/daemon/src/components.rs
+++ b/crates/daemon/src/components.rs
@@ -48,13 +48,15 @@
         Ok(Self { incarnation, clock, metrics, recorder, peer_client, log_control })
     }
 
-    /// Creates the components with the system clock, and installs the logger of the process.
+    /// Creates the components with the system clock, and applies the log filter of the settings.
     ///
     /// # Errors
-    /// Fails as [`Self::new`] does, or if the log filter is malformed or a logger is already
-    /// installed.
-    pub fn for_process(telemetry: &TelemetrySettings) -> Result<Self, Report<DaemonError>> {
-        let log_control = LogControl::install(&telemetry.filter)?;
+    /// Fails as [`Self::new`] does, or if the log filter is malformed.
+    pub fn for_process(
+        telemetry: &TelemetrySettings,
+        log_control: LogControl,
+    ) -> Result<Self, Report<DaemonError>> {
+        log_control.set_filter(&telemetry.filter)?;
         Self::new(telemetry, log_control, Arc::new(SystemClock::new()))
     }
 }
