An empty address of the store is none

If the platform has no value for it, the variable is empty, and each agent ended with code 2, again after each restart.

Cause: the variable was parsed as an address whenever it was set.

Change: an empty text is no address. The agent starts, writes no_store_named, and does what an agent without the store does: it starts only what an entry has lately confirmed. A text that is no address still ends it at once with 2, since the environment of a process cannot change.

Test: an_agent_serves_with_an_empty_address_of_the_store fails on: \"ended with 2: invalid value '' for '--store <STORE>'\".

--- a/crates/cli/src/cmd/platform.rs
+++ b/crates/cli/src/cmd/platform.rs
@@ -5,8 +5,9 @@
 use error_stack::{Report, ResultExt};
 use parsleyspool_platform::startup::StartWindow;
 use parsleyspool_platform::{agent, entry};
-use std::net::SocketAddr;
+use std::net::{AddrParseError, SocketAddr};
 use std::path::PathBuf;
+use std::str::FromStr;
 use std::time::Duration;
 
 /// Subcommands of `platform`.
@@ -36,15 +37,30 @@
     }
 }
 
+/// Address that a variable or option may leave empty.
+#[derive(Debug, Clone, Copy)]
+struct OptionalAddress(Option<SocketAddr>);
+
+impl FromStr for OptionalAddress {
+    type Err = AddrParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.is_empty() {
+            return Ok(Self(None));
+        }
+        text.parse().map(|address| Self(Some(address)))
+    }
+}
+
 /// Arguments of `platform agent`.
 #[derive(Debug, Args)]
 pub struct PlatformAgentArgs {
     #[command(flatten)]
     common: PlatformArgs,
     /// Address of the platform's store, in which the agent finds entries when none answers, and reads
-    /// whether its failure domain is in service when no entry can.
-    #[arg(long, env = "PARSLEYSPOOL_STORE")]
-    store: Option<SocketAddr>,
+    /// whether its failure domain is in service when no entry can; empty if there is none.
+    #[arg(long, env = "PARSLEYSPOOL_STORE", default_value = "")]
+    store: OptionalAddress,
 }
 
 impl PlatformCommand {
@@ -57,7 +73,7 @@
             }
             Self::Agent(args) => {
                 let window = args.common.window();
-                agent::run(args.common.settings, args.store, window).await
+                agent::run(args.common.settings, args.store.0, window).await
             }
         };
         super::drain_result(unfinished.change_context(CommandError::DaemonFailed)?)
--- a/crates/cli/tests/startup/main.rs
+++ b/crates/cli/tests/startup/main.rs
@@ -69,6 +69,19 @@
     }
 }
 
+/// Failure (class of review/14): the deploy file renders an empty address of the store, and the agent ends
+/// with code 2.
+#[test]
+fn an_agent_serves_with_an_empty_address_of_the_store() {
+    let mut machine = StartMachine::new(DaemonRole::Agent);
+    machine.store = Some("");
+
+    machine.start_with_fields(&[]);
+
+    assert_eq!(machine.wait_up(), Ok(()));
+    assert_eq!(machine.wait_line("event=no_store_named"), Ok(()));
+}
+
 /// Failure (class of review/14): a value that the process needs is missing for a moment, and it ends.
 #[test]
 fn a_daemon_waits_for_a_value_that_it_needs() {
