Messages between daemons use the clients that the other HTTP clients use

PeerClient built a pooled, an impatient and an unpooled client by itself, with the settings that build_client and build_unpooled_client have; the idle times were two constants of the same 5 s. No change of behaviour; the tests of the daemon pass.

--- a/crates/daemon/src/peer_client.rs
+++ b/crates/daemon/src/peer_client.rs
@@ -8,12 +8,14 @@
 
 use crate::answer::read_answer;
 use crate::error::DaemonError;
-use crate::http::{MESSAGE_MEDIA_TYPE, classify_failure};
+use crate::http::{
+    CLIENT_IDLE_TIMEOUT, MESSAGE_MEDIA_TYPE, build_client, build_unpooled_client, classify_failure,
+};
 use crate::interfaces::{AgentClient, EntryClient};
 use crate::peer_connections::PeerConnections;
 use crate::recorder::EventRecorder;
 use crate::telemetry::metrics::{DaemonMetrics, MessageKind};
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use parsleyspool_core::agent::ConnectPatience;
@@ -35,8 +37,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time limit for opening a connection for a brief attempt: several round trips within a region.
 const BRIEF_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time after which the pool drops an idle connection.
-const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest time for which an agent holds a status query open while the task is pending.
 pub const STATUS_QUERY_HOLD: Duration = Duration::from_secs(1);
 /// Time limit for the answer to a status query, including [`STATUS_QUERY_HOLD`].
@@ -77,17 +77,11 @@
         recorder: Arc<EventRecorder>,
         metrics: Arc<DaemonMetrics>,
     ) -> Result<Self, Report<DaemonError>> {
-        let builder =
-            || Client::builder().connect_timeout(CONNECT_TIMEOUT).no_proxy().tcp_nodelay(true);
-        let pooled_builder = || builder().pool_idle_timeout(POOL_IDLE_TIMEOUT);
-        let pooled_client = pooled_builder().build();
-        let heartbeat_client = pooled_builder().connect_timeout(BRIEF_CONNECT_TIMEOUT).build();
-        let unpooled_client = builder().pool_max_idle_per_host(0).build();
         Ok(Self {
-            pooled_client: pooled_client.change_context(DaemonError::Client)?,
-            heartbeat_client: heartbeat_client.change_context(DaemonError::Client)?,
-            unpooled_client: unpooled_client.change_context(DaemonError::Client)?,
-            connections: PeerConnections::new(POOL_IDLE_TIMEOUT),
+            pooled_client: build_client(CONNECT_TIMEOUT)?,
+            heartbeat_client: build_client(BRIEF_CONNECT_TIMEOUT)?,
+            unpooled_client: build_unpooled_client(CONNECT_TIMEOUT)?,
+            connections: PeerConnections::new(CLIENT_IDLE_TIMEOUT),
             recorder,
             metrics,
         })
