A start that waits for a port reads its settings again

Found while reading the change: each step of a start waited for itself, so a process whose settings named an address that is not its machine's, or a port that stays taken, waited for that address even if the settings had a free one by then.

Each attempt now reads the file and binds its listeners.

Test: a_daemon_waits_for_an_address_of_its_machine_in_the_settings.

--- a/crates/cli/src/cmd/platform.rs
+++ b/crates/cli/src/cmd/platform.rs
@@ -25,8 +25,8 @@
     /// Settings file; defaults to the path in PARSLEYSPOOL_BOOT.
     #[arg(long)]
     settings: Option<PathBuf>,
-    /// Time for which a start waits for valid settings, and then for free ports, before the process ends;
-    /// defaults to 8h.
+    /// Time for which a start waits for valid settings and free ports before the process ends; defaults to
+    /// 8h.
     #[arg(long, value_parser = humantime::parse_duration)]
     start_window: Option<Duration>,
 }
--- a/crates/cli/tests/startup/main.rs
+++ b/crates/cli/tests/startup/main.rs
@@ -13,6 +13,8 @@
 const FRONT_PORT: u16 = 8161;
 const READY_PORT: u16 = 8167;
 const METRICS_PORT: u16 = 9464;
+/// Address that no machine of a test has.
+const FOREIGN_ADDRESS: &str = "192.0.2.1:8166";
 /// Arguments for a start that gives up soon.
 const SHORT_WINDOW: [&str; 2] = ["--start-window", "300ms"];
 /// Exit code of a daemon that could not start.
@@ -171,6 +173,23 @@
     }
 }
 
+/// Failure: the address of a listener changes in the settings, and the process waits for the former one.
+#[test]
+fn a_daemon_waits_for_an_address_of_its_machine_in_the_settings() {
+    for role in DaemonRole::BOTH {
+        let mut machine = StartMachine::new(role);
+        let whole = machine.settings();
+        set(&mut machine, "/listenAddrs/control", json!(FOREIGN_ADDRESS));
+        machine.start_with_fields(&[]);
+        let delayed = machine.wait_line("event=start_delayed");
+
+        machine.write(&whole);
+        let started = machine.wait_up();
+
+        assert_eq!((delayed, started), (Ok(()), Ok(())), "{role:?}");
+    }
+}
+
 /// Failure: callers wait at a listener of a process that still waits for another port.
 #[test]
 fn a_daemon_that_waits_for_one_port_holds_no_other() {
