Log lines with an error report have no colour codes

An error report in a log line had the escape sequences of a terminal, so that a search for its text found nothing. The logger turns them off. The test of a setting that stays wrong looks for them; with the former logger the line of start_delayed has them.

--- a/crates/cli/tests/startup/main.rs
+++ b/crates/cli/tests/startup/main.rs
@@ -134,7 +134,9 @@
         let (code, log) = machine.wait_end();
 
         assert_eq!(code, DAEMON_FAILED, "{log}");
+        assert!(log.contains("event=start_delayed"), "{log}");
         assert!(log.contains("platform.descriptors: must be above 204"), "{log}");
+        assert!(!log.contains("u{1b}"), "a terminal's colours are in the log: {log}");
     }
 }
 
--- a/crates/daemon/src/telemetry/logging.rs
+++ b/crates/daemon/src/telemetry/logging.rs
@@ -4,6 +4,7 @@
 //! the process. Lines beyond the capacity of its queue are dropped and counted.
 
 use crate::error::DaemonError;
+use error_stack::fmt::ColorMode;
 use error_stack::{Report, ResultExt};
 use std::sync::Arc;
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
@@ -42,6 +43,7 @@
         let line_layer = line_layer.with_writer(writer);
         let registry = tracing_subscriber::registry().with(filter_layer).with(line_layer);
         registry.try_init().change_context(DaemonError::LogFilter)?;
+        Report::set_color_mode(ColorMode::None);
         Ok(Self { handle: Some(handle), _writer_guard: Some(Arc::new(guard)) })
     }
 
