Soak: a stop begins with its signal, and an end by a signal is reported as one

The signal is now sent by the test itself, and the stop counts from just before it. The check stays as it is.

--- a/crates/cli/tests/processes/deployment.rs
+++ b/crates/cli/tests/processes/deployment.rs
@@ -5,8 +5,9 @@
     agent_settings, entry_settings, make_directory, start_backend, start_log,
 };
 use crate::operator::{self, initial_changes, send_change};
-use crate::process::{self, UnreadLines, address_in, signal, wait_exit};
+use crate::process::{self, UnreadLines, address_in, send_signal, wait_exit};
 use futures_util::future::join_all;
+use nix::sys::signal::Signal;
 use parsleyspool_standins::backend::ExampleBackend;
 use parsleyspool_standins::log::{LogFaults, LogStreams};
 use parsleyspool_wire::caller::SubmitBody;
@@ -272,32 +273,32 @@
 
     pub fn kill_agent(&mut self, index: usize) {
         let mut child = self.agents[index].child.take().expect("the agent runs");
-        signal(&child, "KILL");
+        send_signal(&child, Signal::SIGKILL);
         child.wait().expect("the agent ends");
     }
 
     pub fn kill_entry(&mut self, index: usize) {
         let mut child = self.entries[index].child.take().expect("the entry runs");
-        signal(&child, "KILL");
+        send_signal(&child, Signal::SIGKILL);
         child.wait().expect("the entry ends");
     }
 
     pub fn freeze_agent(&mut self, index: usize) {
-        signal(self.agents[index].child.as_ref().expect("the agent runs"), "STOP");
+        send_signal(self.agents[index].child.as_ref().expect("the agent runs"), Signal::SIGSTOP);
     }
 
     pub fn resume_agent(&mut self, index: usize) {
-        signal(self.agents[index].child.as_ref().expect("the agent runs"), "CONT");
+        send_signal(self.agents[index].child.as_ref().expect("the agent runs"), Signal::SIGCONT);
     }
 
     /// Stops an agent with SIGTERM, collects its timeline, and starts a new agent in its place.
     pub async fn replace_agent(&mut self, index: usize) {
         let address = self.agents[index].listen;
         let child = self.agents[index].child.take().expect("the agent runs");
-        signal(&child, "TERM");
+        send_signal(&child, Signal::SIGTERM);
         let events = self.get_at(address, "/v1/timeline").await;
         self.past_timelines.extend(events);
-        assert_eq!(wait_exit(child).await, Some(0));
+        assert_eq!(wait_exit(child).await.code(), Some(0));
         self.spawn_agent(index);
         self.wait_serving(self.agents.len()).await;
     }
@@ -305,7 +306,7 @@
     /// Stops an entry with SIGTERM and returns its exit code.
     pub async fn stop_entry(&mut self, index: usize) -> Option<i32> {
         let child = self.entries[index].child.take().expect("the entry runs");
-        signal(&child, "TERM");
-        wait_exit(child).await
+        send_signal(&child, Signal::SIGTERM);
+        wait_exit(child).await.code()
     }
 }
--- a/crates/cli/tests/processes/soak/cluster.rs
+++ b/crates/cli/tests/processes/soak/cluster.rs
@@ -10,7 +10,8 @@
     agent_settings, entry_settings, listen, make_directory, start_backend, start_log,
 };
 use crate::operator;
-use crate::process::{self, address_in, signal, wait_exit};
+use crate::process::{self, address_in, last_lines, send_signal, wait_exit};
+use nix::sys::signal::Signal;
 use parsleyspool_standins::backend::{BackendModel, ExampleBackend};
 use parsleyspool_standins::log::{LogFaults, LogStreams};
 use parsleyspool_standins::proxy::LinkProxy;
@@ -27,6 +28,14 @@
 /// Time after the drain time within which a process must exit.
 const EXIT_SLACK: Duration = Duration::from_secs(2);
 
+/// Name of a process, of its settings and of its log.
+fn process_name(role: SoakRole) -> String {
+    match role {
+        SoakRole::Entry(index) => format!("entry-{}", index + 1),
+        SoakRole::Agent(index) => format!("agent-{}", index + 1),
+    }
+}
+
 /// Proxy with its listen address.
 pub struct SoakProxy {
     pub proxy: Arc<LinkProxy>,
@@ -155,7 +164,7 @@
                 DRAIN_TIME.as_secs(),
                 self.entry_addresses(Some(index))
             );
-        let name = format!("entry-{}", index + 1);
+        let name = process_name(SoakRole::Entry(index));
         let (child, line) = process::start(&self.directory, "entry", &name, &settings);
         entry.peers.proxy.set_target(Some(address_in(&line, "peers")));
         entry.callers.proxy.set_target(Some(address_in(&line, "callers")));
@@ -171,7 +180,7 @@
                 agent.peers.address,
                 DRAIN_TIME.as_secs()
             );
-        let name = format!("agent-{}", index + 1);
+        let name = process_name(SoakRole::Agent(index));
         let (child, line) = process::start(&self.directory, "agent", &name, &settings);
         agent.peers.proxy.set_target(Some(address_in(&line, "peers")));
         child
@@ -189,7 +198,7 @@
         let mut guard = self.child(role).lock().await;
         let Some(mut child) = guard.take() else { return };
         let since = Instant::now();
-        signal(&child, "KILL");
+        send_signal(&child, Signal::SIGKILL);
         child.wait().expect("the process ends");
         tokio::time::sleep(downtime).await;
         *guard = Some(self.start_process(role));
@@ -200,9 +209,9 @@
         let guard = self.child(role).lock().await;
         let Some(child) = guard.as_ref() else { return };
         let since = Instant::now();
-        signal(child, "STOP");
+        send_signal(child, Signal::SIGSTOP);
         tokio::time::sleep(time).await;
-        signal(child, "CONT");
+        send_signal(child, Signal::SIGCONT);
         self.record.add_freeze(role, since, Instant::now());
     }
 
@@ -211,12 +220,16 @@
         let mut guard = self.child(role).lock().await;
         let Some(child) = guard.take() else { return };
         let id = child.id();
-        signal(&child, "TERM");
         let since = Instant::now();
-        let code = tokio::time::timeout(DRAIN_TIME + EXIT_SLACK, wait_exit(child)).await;
-        match code {
-            Ok(Some(0)) => {}
-            Ok(code) => self.record.add_violation(format!("SIGTERM ended {role:?} with {code:?}")),
+        send_signal(&child, Signal::SIGTERM);
+        let ended = tokio::time::timeout(DRAIN_TIME + EXIT_SLACK, wait_exit(child)).await;
+        match ended {
+            Ok(status) if status.success() => {}
+            Ok(status) => self.record.add_violation(format!(
+                "SIGTERM ended {role:?} (process {id}) with {status} after {:?}; {}",
+                since.elapsed(),
+                last_lines(&self.directory, &process_name(role))
+            )),
             Err(_) => {
                 self.record.add_violation(format!(
                     "{role:?} (process {id}) still runs {:?} after SIGTERM",
