--- a/crates/cli/tests/inbound/machine.rs
+++ b/crates/cli/tests/inbound/machine.rs
@@ -2,6 +2,7 @@
 //! process.
 
 use crate::crowd::CrowdKind;
+use crate::machine_fields::machine_fields;
 use crate::process::PlatformProcess;
 use crate::settings_template::render;
 use crate::socket_queues::unread_bytes;
@@ -163,23 +164,9 @@
     }
 }
 
-/// Fields of the settings, as the platform fills them in.
+/// Fields of the settings of a small machine.
 fn fields(ip: &str) -> serde_json::Value {
-    json!({
-        "nodeName": "edge-1",
-        "zone": "coast-a",
-        "zones": {"coast-a": "coast"},
-        "ip": ip,
-        "listenAddrs": {
-            "front": format!("{ip}:8161"),
-            "ready": format!("{ip}:8167"),
-            "control": format!("{ip}:8166"),
-        },
-        "internalPorts": [7720, 7735],
-        "seeds": [format!("{ip}:7790")],
-        "bounds": {"graceS": 6},
-        "app": format!("{ip}:8165"),
-        "platform": {"address": format!("{ip}:8169"), "keep_s": 20},
-        "limits": {"maxFds": DESCRIPTORS, "memoryMb": MEMORY_MB},
-    })
+    let mut fields = machine_fields(ip);
+    fields["limits"] = json!({"maxFds": DESCRIPTORS, "memoryMb": MEMORY_MB});
+    fields
 }
--- a/crates/cli/tests/inbound/main.rs
+++ b/crates/cli/tests/inbound/main.rs
@@ -4,6 +4,8 @@
 
 mod crowd;
 mod machine;
+#[path = "../platform/machine_fields.rs"]
+mod machine_fields;
 #[path = "../platform/process.rs"]
 mod process;
 #[path = "../platform/settings_template.rs"]
--- a/crates/cli/tests/startup/machine.rs
+++ b/crates/cli/tests/startup/machine.rs
@@ -1,9 +1,10 @@
 //! Machine at a loopback address of its own, with the settings of one daemon as the deploy file's
 //! template renders them.
 
+use crate::machine_fields::machine_fields;
 use crate::process::{PlatformProcess, ProcessStart, write_settings};
 use crate::settings_template::render;
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -71,7 +72,7 @@
         let directory = format!("parsleyspool-startup-{}-{count}", std::process::id());
         let directory = std::env::temp_dir().join(directory);
         std::fs::create_dir_all(&directory).expect("a directory can be made");
-        Self { role, fields: fields(&ip), ip, store: None, directory, process: None }
+        Self { role, fields: machine_fields(&ip), ip, store: None, directory, process: None }
     }
 
     /// Settings with the present values.
@@ -165,24 +166,3 @@
         }
     }
 }
-
-/// Fields of the settings, as the platform fills them in.
-fn fields(ip: &str) -> Value {
-    json!({
-        "nodeName": "machine-1",
-        "zone": "coast-a",
-        "zones": {"coast-a": "coast"},
-        "ip": ip,
-        "listenAddrs": {
-            "front": format!("{ip}:8161"),
-            "ready": format!("{ip}:8167"),
-            "control": format!("{ip}:8166"),
-        },
-        "internalPorts": [7720, 7735],
-        "seeds": [format!("{ip}:7790")],
-        "bounds": {"graceS": 6},
-        "app": format!("{ip}:8165"),
-        "platform": {"address": format!("{ip}:8169"), "keep_s": 20},
-        "limits": {"maxFds": 4100, "memoryMb": 160},
-    })
-}
--- a/crates/cli/tests/startup/main.rs
+++ b/crates/cli/tests/startup/main.rs
@@ -2,6 +2,8 @@
 //! leave them on any day, and checks whether the process serves, waits or ends.
 
 mod machine;
+#[path = "../platform/machine_fields.rs"]
+mod machine_fields;
 #[path = "../platform/process.rs"]
 mod process;
 #[path = "../platform/settings_template.rs"]
