--- a/crates/cli/tests/startup/machine.rs
+++ b/crates/cli/tests/startup/machine.rs
@@ -152,6 +152,11 @@
         panic!("the process runs on: {:?}", process.log_lines());
     }
 
+    /// Sends SIGHUP to the process.
+    pub fn hang_up(&mut self) {
+        self.process.as_mut().expect("the process was started").hang_up();
+    }
+
     /// Sends SIGTERM to the process.
     pub fn terminate(&mut self) {
         self.process.as_mut().expect("the process was started").terminate();
--- a/crates/cli/tests/startup/main.rs
+++ b/crates/cli/tests/startup/main.rs
@@ -19,6 +19,7 @@
 const FOREIGN_ADDRESS: &str = "192.0.2.1:8166";
 /// Arguments for a start that gives up soon.
 const SHORT_WINDOW: [&str; 2] = ["--start-window", "300ms"];
+const WRONG_COMMAND_LINE: i32 = 2;
 /// Exit code of a daemon that could not start.
 const DAEMON_FAILED: i32 = 7;
 
@@ -104,6 +105,69 @@
     }
 }
 
+/// Values of the wrong kind, or that no process can run with.
+fn unusable_values() -> Vec<(&'static str, Value)> {
+    vec![
+        ("/limits/memoryMb", json!(32)),
+        ("/limits/memoryMb", json!(true)),
+        ("/limits/maxFds", json!(204)),
+        ("/bounds/graceS", json!("soon")),
+        ("/seeds", json!(["nowhere"])),
+        ("/listenAddrs/control", json!("nowhere")),
+    ]
+}
+
+/// Failure (class of review/14): as above, with a value that is there and cannot be used.
+#[test]
+fn a_daemon_waits_for_another_value_than_one_that_it_cannot_use() {
+    for role in DaemonRole::BOTH {
+        for (path, value) in unusable_values() {
+            let mut machine = StartMachine::new(role);
+            let whole = machine.settings();
+            set(&mut machine, path, value.clone());
+            machine.start_with_fields(&[]);
+            let delayed = machine.wait_line("event=start_delayed");
+
+            machine.write(&whole);
+            let started = machine.wait_up();
+
+            assert_eq!((delayed, started), (Ok(()), Ok(())), "{role:?} {path} {value}");
+        }
+    }
+}
+
+/// Failure: a running process ends, or drops its values, when its settings file becomes invalid.
+#[test]
+fn a_running_daemon_keeps_its_values_when_its_file_becomes_invalid() {
+    for role in DaemonRole::BOTH {
+        let mut machine = StartMachine::new(role);
+        let whole = machine.settings();
+        machine.start_with_fields(&[]);
+        machine.wait_up().expect("the daemon starts");
+
+        machine.write(&whole[..whole.len() / 2]);
+        machine.hang_up();
+        let rejected = machine.wait_line("event=settings_wrong");
+        machine.write(&whole);
+        machine.hang_up();
+        let read = machine.wait_line("event=settings_read");
+
+        assert_eq!((rejected, read), (Ok(()), Ok(())), "{role:?}");
+    }
+}
+
+/// Failure: a variable that stays wrong as long as the process runs is waited for.
+#[test]
+fn an_agent_ends_at_once_with_a_store_at_no_address() {
+    let mut machine = StartMachine::new(DaemonRole::Agent);
+    machine.store = Some("nowhere");
+
+    machine.start_with_fields(&[]);
+    let (code, log) = machine.wait_end();
+
+    assert_eq!(code, WRONG_COMMAND_LINE, "{log}");
+}
+
 /// Failure (class of review/14): a process starts while its settings file is being written, and ends.
 #[test]
 fn a_daemon_waits_for_a_file_that_is_being_written() {
