--- a/crates/cli/tests/platform/config_probe.rs
+++ b/crates/cli/tests/platform/config_probe.rs
@@ -79,10 +79,10 @@
         let end = self.began.elapsed() + length;
         while self.began.elapsed() < end {
             let newest = self.state().changes.last().copied();
-            for front in newest.iter().flat_map(|_| &fronts) {
-                let version = newest.map_or(0, |change| change.version);
-                let probe = self.clone().ask(client.clone(), *front, version);
-                tokio::spawn(probe);
+            if let Some(ConfigChange { version, .. }) = newest {
+                for front in &fronts {
+                    tokio::spawn(self.clone().ask(client.clone(), *front, version));
+                }
             }
             tokio::time::sleep(PROBE_INTERVAL).await;
         }
--- a/crates/cli/tests/platform/fault_play.rs
+++ b/crates/cli/tests/platform/fault_play.rs
@@ -178,7 +178,9 @@
 /// Processes that have ended although nobody killed them.
 fn ended_processes(deployment: &mut PlatformDeployment) -> Vec<String> {
     let ended = deployment.processes.iter_mut().filter_map(|process| {
-        (!process.is_running()).then(|| format!("{} has ended by itself", process.name))
+        let status = process.exit_status()?;
+        let last_line = process.log_lines().pop();
+        Some(format!("{} has ended by itself with {status}: {last_line:?}", process.name))
     });
     ended.collect()
 }
--- a/crates/cli/tests/platform/process.rs
+++ b/crates/cli/tests/platform/process.rs
@@ -3,7 +3,7 @@
 use std::fs::{self, File};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_parsleyspool");
 /// Variable with the path of the settings file.
@@ -103,11 +103,10 @@
         }
     }
 
-    /// Exit code once the process has ended; `None` while it runs.
-    #[allow(dead_code, reason = "only the target `startup` uses it")]
-    pub fn exit_code(&mut self) -> Option<i32> {
-        let status = self.child.try_wait().expect("the process can be waited for");
-        status.map(|status| status.code().expect("no signal ends the process"))
+    /// Exit code or signal once the process has ended; `None` while it runs.
+    #[allow(dead_code, reason = "the target `inbound` does not use it")]
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("the process can be waited for")
     }
 
     /// Whether the process still runs.
--- a/crates/cli/tests/startup/machine.rs
+++ b/crates/cli/tests/startup/machine.rs
@@ -128,12 +128,12 @@
         let process = self.process.as_mut().expect("the process was started");
         for _ in 0..MAX_POLLS {
             // Read first, so that the last lines of an ended process count.
-            let exit_code = process.exit_code();
+            let exit_status = process.exit_status();
             if process.log_lines().iter().any(|line| line.contains(text)) {
                 return Ok(());
             }
-            if let Some(code) = exit_code {
-                return Err(format!("ended with {code}: {:?}", process.log_lines()));
+            if let Some(status) = exit_status {
+                return Err(format!("ended with {status}: {:?}", process.log_lines()));
             }
             std::thread::sleep(POLL_INTERVAL);
         }
@@ -144,7 +144,8 @@
     pub fn wait_end(&mut self) -> (i32, String) {
         let process = self.process.as_mut().expect("the process was started");
         for _ in 0..MAX_POLLS {
-            if let Some(code) = process.exit_code() {
+            if let Some(status) = process.exit_status() {
+                let code = status.code().expect("no signal ends the process");
                 return (code, process.log_lines().join("\n"));
             }
             std::thread::sleep(POLL_INTERVAL);
